Space the calls to discovery, and stop cutting off the watch that is being answered

Every watch was cut off by the module's own wish for one, and from then on all 100 conductors asked at a fixed beat:

Calls timed one by one wait 2.0 s and then fail, or are refused at once: some twenty calls a second are worked off, failed ones included, and conductors that start in step bring a hundred.

Now the client side alone watches, from its start on; a call waits as long for its turn as a watch may be silent; and where lists come on request, pauses are by chance out of 40 ms for each conductor, doubled twice, also before the first call. Where lists are pushed, the agent costs nothing and is still asked within 200 ms.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -109,8 +109,8 @@
     fn probe(&self, worker: WorkerId);
     /// Closes idle connections.
     fn hang_up(&self, worker: &WorkerId);
-    /// Asks discovery: for its changes from now on, or once for the whole list.
-    fn ask_list(&self, watch: bool);
+    /// Asks discovery once for the whole list.
+    fn fetch_list(&self);
 }
 
 /// What comes to the core.
@@ -502,8 +502,10 @@
             Action::Timer { at, timer } => self.due.push(Reverse((at, Due::Timer(timer)))),
             Action::Probe { worker } => self.outbound.probe(worker),
             Action::HangUp { worker } => self.outbound.hang_up(&worker),
-            Action::Subscribe => self.outbound.ask_list(true),
-            Action::FetchList => self.outbound.ask_list(false),
+            // The client side watches discovery from its start on, and begins anew by itself what breaks: asking
+            // once more would only cut off the watch that is about to be answered.
+            Action::Subscribe => {}
+            Action::FetchList => self.outbound.fetch_list(),
             Action::Tell { .. } => {
                 log::debug!("conductors share nothing here: a message to peers is dropped")
             }
@@ -552,7 +554,7 @@
         fn hold(&self, _: RequestId, _: Rc<Call>, _: WorkerId) {}
         fn probe(&self, _: WorkerId) {}
         fn hang_up(&self, _: &WorkerId) {}
-        fn ask_list(&self, _: bool) {}
+        fn fetch_list(&self) {}
     }
 
     /// Guards against memory that grows with every request for as long as the longest deadline that clients state.
--- a/src/main.rs
+++ b/src/main.rs
@@ -14,7 +14,7 @@
 use whinhaven::front::jsonrpc::Front;
 use whinhaven::interface::ListKind;
 use whinhaven::net::client::Hosts;
-use whinhaven::net::discovery::{Directory, Follower};
+use whinhaven::net::discovery::{Directory, Follower, Pace};
 use whinhaven::net::pool::Pool;
 use whinhaven::net::server::{Connections, Edge, Listener, OVER, Shared, Stage};
 
@@ -155,14 +155,13 @@
     let connect_timeout = Duration::from_micros(settings.connect_timeout.max(10_000));
     let pool = Pool::new(to_hosts, connect_timeout, config.idle_close / 3, counters.clone());
     let directory = Rc::new(Directory::default());
-    let (watch_again, fetch_list) = (Rc::new(Notify::new()), Rc::new(Notify::new()));
+    let fetch_list = Rc::new(Notify::new());
     let hosts = Hosts {
         directory: directory.clone(),
         pool: pool.clone(),
         core: core.clone(),
         reports: settings.reports,
         counters: counters.clone(),
-        watch_again: watch_again.clone(),
         fetch_list: fetch_list.clone(),
     };
     let driver = Core::new(settings.clone(), config.seed, clock, Rc::new(hosts), counters.clone());
@@ -173,8 +172,8 @@
             let pool = pool.clone();
             move |worker| pool.hang_up(worker)
         }),
-        again: watch_again,
         fetch_list,
+        pace: Pace::new(&settings, config.seed),
         counters: counters.clone(),
     };
     follower.take(std::mem::take(&mut config.known), ListKind::Saved);
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -56,8 +56,6 @@
     pub reports: Reports,
     /// Counters.
     pub counters: Rc<Counters>,
-    /// Asks for a new watch.
-    pub watch_again: Rc<Notify>,
     /// Asks for the whole list.
     pub fetch_list: Rc<Notify>,
 }
@@ -483,7 +481,7 @@
         self.pool.hang_up(worker);
     }
 
-    fn ask_list(&self, watch: bool) {
-        if watch { self.watch_again.notify_one() } else { self.fetch_list.notify_one() }
+    fn fetch_list(&self) {
+        self.fetch_list.notify_one();
     }
 }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -3,7 +3,8 @@
 use super::Local;
 use crate::core::{CoreHandle, Input};
 use crate::counters::Counters;
-use crate::interface::{Entry, Kind, ListKind, Role, Status, WorkerId};
+use crate::interface::{Entry, Kind, ListKind, Role, Settings, Status, WorkerId};
+use crate::state::unit;
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Empty};
 use hyper::body::Incoming;
@@ -19,13 +20,22 @@
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, watch};
 use tower::{Service, ServiceExt};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// A watch that says nothing for this long, not even an empty line, is dead: those come every 2 s.
 const SILENCE: Duration = Duration::from_secs(5);
-/// The agent is on this machine and answers at once, or is down: asked again rather than waited for.
-const ANSWER: Duration = Duration::from_secs(1);
-/// Before the next try after a failure: the agent is on this machine, and asking it costs nothing.
+/// An answer is waited for as long as a watch may be silent. The agent is on this machine, but a call may have to wait
+/// its turn at discovery: who gives up before that turn comes asks again from the end of the line, and the call left
+/// behind is served for nobody.
+const ANSWER: Duration = SILENCE;
+/// The longest pause after a first failure, where asking costs nothing: the agent is on this machine.
 const PAUSE: Duration = Duration::from_millis(200);
+/// Where lists come on request, each conductor's part of it: all of them together make 25 calls a second on average.
+/// There, discovery is one service for all. They start, lose their watches and fail together, and calls that come
+/// faster than it works them off keep it at work on calls that it has failed already.
+const PAUSE_EACH: Duration = Duration::from_millis(40);
+/// Failures in a row that double it.
+const MAX_DOUBLINGS: u32 = 2;
 /// The longest line that is read: thousands of hosts.
 const MOST_LINE: usize = 4 * 1024 * 1024;
 
@@ -209,14 +219,41 @@
     pub core: CoreHandle,
     /// Called for hosts whose idle connections are of no more use.
     pub hang_up: Box<dyn Fn(&WorkerId)>,
-    /// Asks for a new watch ahead of time.
-    pub again: Rc<Notify>,
     /// Asks for the whole list.
     pub fetch_list: Rc<Notify>,
+    /// When it calls.
+    pub pace: Pace,
     /// Counters.
     pub counters: Rc<Counters>,
 }
 
+/// When to call discovery, again or at first.
+#[derive(Clone, Copy, Debug)]
+pub struct Pace {
+    /// The longest pause after a first failure.
+    longest: Duration,
+    /// Whether the first call waits, too.
+    from_start: bool,
+    /// Differs between conductors and between their starts.
+    seed: u64,
+}
+
+impl Pace {
+    /// The pace that suits a deployment.
+    pub fn new(settings: &Settings, seed: u64) -> Self {
+        let from_start = settings.list_on_request;
+        let longest = if from_start { PAUSE.max(PAUSE_EACH * settings.routers) } else { PAUSE };
+        Pace { longest, from_start, seed }
+    }
+
+    /// How long to wait after so many failures in a row: by chance, up to a bound that doubles, so that conductors
+    /// that fail together don't ask together.
+    fn pause(&self, failures: u32) -> Duration {
+        let longest = self.longest * (1 << failures.saturating_sub(1).min(MAX_DOUBLINGS));
+        longest.mul_f64(unit(xxh3_64_with_seed(&failures.to_le_bytes(), self.seed)))
+    }
+}
+
 impl Follower {
     /// Takes a listing in and tells the core.
     pub fn take(&self, listing: Listing, kind: ListKind) {
@@ -239,6 +276,9 @@
         // The list held is the configuration's or this agent's. Versions of another one say nothing of it, so that
         // one is asked for its whole list before its changes.
         let mut whole = false;
+        if self.pace.from_start {
+            tokio::time::sleep(self.pace.pause(0)).await;
+        }
         loop {
             let Some(at) = *address.borrow_and_update() else {
                 if address.changed().await.is_err() {
@@ -255,23 +295,18 @@
                     (whole, failures) = (true, 0);
                     continue;
                 }
-                ended = self.watching(at, &mut whole) => ended,
-                () = self.again.notified() => Err("asked again".into()),
+                ended = self.watching(at, &mut whole, &mut failures) => ended,
             };
             self.counters.watches_lost.up();
-            if let Err(error) = ended {
-                // Once for each outage: it may last long.
-                if failures == 0 {
-                    log::warn!("discovery: {error}; the list stands");
-                }
-                failures += 1;
-            } else {
-                failures = 0;
-            }
+            // Once for each outage: it may last long.
+            let level = if failures == 0 { log::Level::Warn } else { log::Level::Debug };
+            let why = ended.err().map_or_else(|| "the watch ended".to_owned(), |error| error.to_string());
+            log::log!(level, "discovery: {why}; the list stands");
+            failures = failures.saturating_add(1);
             self.core.tell(Input::List { kind: ListKind::Failed, entries: Vec::new() });
             tokio::select! {
                 _ = address.changed() => (whole, failures) = (true, 0),
-                () = tokio::time::sleep(PAUSE) => {}
+                () = tokio::time::sleep(self.pace.pause(failures)) => {}
             }
         }
     }
@@ -280,6 +315,7 @@
         &self,
         address: SocketAddr,
         whole: &mut bool,
+        failures: &mut u32,
     ) -> Result<(), Box<dyn std::error::Error>> {
         let mut discovery = Discovery { address };
         if *whole {
@@ -293,6 +329,9 @@
         }
         let target = format!("/v1/servers?watch=1&after={}", self.directory.seq.get());
         let response = tokio::time::timeout(ANSWER, discovery.ready().await?.call(target)).await??;
+        if std::mem::take(failures) > 0 {
+            log::info!("discovery: watched again after version {}", self.directory.seq.get());
+        }
         let body = response.into_body();
         tokio::select! {
             ended = self.watch(body) => ended,
@@ -353,6 +392,22 @@
 mod tests {
     use super::*;
 
+    /// Guards against conductors that keep a shared discovery busy with the calls that it has just failed them.
+    #[test]
+    fn conductors_that_fail_together_spread_their_next_calls() {
+        let settings = |list_on_request| Settings { routers: 100, list_on_request, ..Settings::default() };
+        for (failures, longest) in [(0, 4.0), (1, 4.0), (2, 8.0), (3, 16.0), (40, 16.0)] {
+            let mut calls = [0; 10];
+            for conductor in 0..100 {
+                let pause = Pace::new(&settings(true), conductor).pause(failures).as_secs_f64();
+                calls[(pause / longest * 10.0) as usize] += 1;
+            }
+            assert!(calls.iter().all(|n| (2..=20).contains(n)), "after {failures} failures: {calls:?}");
+        }
+        // An agent that is asked for nothing but its own list is asked again soon.
+        assert!((0..100).all(|c| Pace::new(&settings(false), c).pause(40) < Duration::from_secs(1)));
+    }
+
     /// Guards against a list that grows with every machine that is replaced under a new id.
     #[test]
     fn hosts_that_are_gone_are_forgotten() {
--- a/tests/conductor.rs
+++ b/tests/conductor.rs
@@ -403,6 +403,24 @@
     assert_eq!(old.1.try_iter().filter(|l| l.starts_with("POST")).count(), 0);
 }
 
+/// Guards against a watch that the module's wish for one cuts off: the call left behind is served for nobody.
+#[test]
+fn where_lists_come_on_request_discovery_is_asked_once() {
+    let (asked, asks) = news();
+    let discovery = Peer::start(move |message, conn| {
+        asked(message.line.clone());
+        conn.begin_stream();
+        conn.chunk("{\"seq\":2,\"whole\":false,\"hosts\":[{\"host\":\"answer-0\",\"health\":\"draining\",\"class\":\"answer\",\"site\":\"here\"}]}\n");
+        !conn.is_closed()
+    });
+    let more = format!("discovery = \"{}\"", discovery.address);
+    let file = operator_file(&[Peer::nobody()], &[Peer::nobody()], &more);
+    let conductor = Conductor::start(&file.replace("\"pushed\"", "\"on_request\""));
+    conductor.wait_for("answer-0 (answer, here, cell 0) is Draining");
+    assert_eq!(conductor.stop().get("watches_lost"), 0);
+    assert_eq!(asks.try_iter().count(), 1);
+}
+
 /// Guards against a SIGHUP that ends the process, a watch that stays with the old agent for as long as that one
 /// lives, and a new agent asked for changes since a version that it never had.
 #[test]
