--- a/src/policy.rs
+++ b/src/policy.rs
@@ -60,6 +60,7 @@
     hung_far: Fading,  // states that did not reach a writer out of the reader's cell in time
     patience: [u32; 2],
     most: [usize; 3], // workers of each role seen in service at once
+    accrued: Micros,  // until when cold budgets have grown
     swept: bool,
     call_failures: u32,
     call_due: Option<Micros>,
@@ -108,6 +109,7 @@
     /// Takes one event in and appends the actions that answer it.
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         self.now = self.now.max(now);
+        self.accrue();
         let ended = matches!(
             event,
             Event::Ended(_) | Event::Started { .. } | Event::List { .. } | Event::Probed { .. }
@@ -239,7 +241,7 @@
         let (readers, mixed) = (self.usable(Role::Reader, id), self.usable(Role::Mixed, id));
         let writers = self.usable(Role::Writer, id).len() + mixed.len();
         let Some(r) = self.requests.get(&id) else { return };
-        let prompt = r.ask.prompt_tokens as f64;
+        let (prompt, aim) = (r.ask.prompt_tokens as f64, self.aim(r) as f64);
         let short = prompt <= self.learned.prompt.or(0.0);
         let direct =
             !mixed.is_empty() && (short || readers.is_empty()) || readers.is_empty() && self.set.writers_read;
@@ -247,7 +249,7 @@
             self.pick_writer(id, None).map(|w| (w, 0.0))
         } else {
             // A read whose writers can't take it would only gather states at the readers.
-            self.pick_reader(&r.ask, &readers).filter(|_| writers > 0)
+            self.pick_reader(&r.ask, &readers, aim * (1.0 - STAGE_PART)).filter(|_| writers > 0)
         };
         let Some((target, unread)) = target else { return };
         if !direct && self.ask_load(&target, id, out) {
@@ -258,7 +260,7 @@
         let takes = |work: f64| {
             self.learned.read_pace.or(0.0) * (work + self.learned.unread.or(0.0)) * self.slowness(&target)
         };
-        let (aim, waited) = (self.aim(r) as f64, (self.now - r.arrived) as f64);
+        let waited = (self.now - r.arrived) as f64;
         let reads = ahead == 0.0 || takes(ahead + unread) <= aim * (1.0 - STAGE_PART);
         let coming: Vec<f64> = (self.requests.values())
             .filter(|r| matches!(r.phase, Phase::Reading | Phase::Held | Phase::Writing))
@@ -325,8 +327,8 @@
 
     // ------------------------------------------------------------ reader choice (E2)
 
-    /// The reader, and how much of the prompt it would have to read.
-    fn pick_reader(&self, ask: &Ask, usable: &[WorkerId]) -> Option<(WorkerId, f64)> {
+    /// The reader, and how much of the prompt it would have to read, best in so much time.
+    fn pick_reader(&self, ask: &Ask, usable: &[WorkerId], time: f64) -> Option<(WorkerId, f64)> {
         let prompt = ask.prompt_tokens as f64;
         let home = self.home(ask, usable)?;
         // Other routers send the same text there, too: it is taken to be kept there.
@@ -342,6 +344,15 @@
                 View { id, slow, load: self.ahead(id, sum / trust) * slow, rest: prompt - kept, rank }
             })
             .collect();
+        // A cold reader whose turn has come gets the next prompt that no reader keeps anything of, if it can
+        // read it in time: with hundreds of routers none would come to it by itself before the turn has passed.
+        if ask.prefix.is_none() && views.iter().all(|v| v.rest == prompt) {
+            let takes = |v: &View| self.learned.read_pace.or(0.0) * v.rest * v.slow;
+            let on_turn = views.iter().filter(|v| self.cold(&self.workers[v.id]) && takes(v) <= time);
+            if let Some(cold) = on_turn.min_by_key(|v| v.rank) {
+                return Some((cold.id.clone(), cold.rest));
+            }
+        }
         let mean = views.iter().map(|v| v.load).sum::<f64>() / views.len() as f64;
         let longest = |a: &&View, b: &&View| {
             b.rest.total_cmp(&a.rest).then(b.load.total_cmp(&a.load)).then(a.rank.cmp(&b.rank))
@@ -551,8 +562,7 @@
                 self.sessions.insert(session, (worker.clone(), credit(r.ask.prompt_tokens)));
             }
         }
-        let now = self.now;
-        self.workers.entry(worker.clone()).and_modify(|w| w.sent = Some(now));
+        self.workers.entry(worker.clone()).and_modify(|w| w.turn -= 1.0);
         let (due, sent, outcome, first) = (self.now + due, self.now, None, None);
         let attempt =
             Attempt { worker: worker.clone(), writes, far, sent, due, tokens, work, outcome, first };
@@ -790,9 +800,7 @@
         let slow = w.slowness.or(1.0) / all[all.len() / 2].max(0.1);
         // Ordinary differences between workers are noise here.
         let slow = if slow < 1.5 { 1.0 } else { slow };
-        let age = w.started.map_or(f64::MAX, |at| self.now.saturating_sub(at) as f64);
-        let part = (age / self.set.cold.max(1) as f64).min(1.0);
-        slow.max(1.0 / (self.set.cold_from + (1.0 - self.set.cold_from) * part).max(0.05))
+        slow.max(1.0 / self.warmth(w))
     }
 
     /// The workers of a role that may be sent this request now, healthy ones first.
@@ -801,7 +809,7 @@
         let mut ready: Vec<(&WorkerId, &Worker)> = (self.workers.iter())
             .filter(|(_, w)| w.role == role && w.status == Status::Ready)
             .filter(|(_, w)| request.is_none_or(|r| !r.may_have_run() || self.may_repeat_at(r, w)))
-            .filter(|(id, w)| self.cold_allows(id, w))
+            .filter(|(_, w)| !self.cold(w) || w.turn >= 1.0)
             .collect();
         let kind = request.map(|r| (r.class, r.ask.tenant.clone()));
         let full = |w: &Worker| kind.as_ref().and_then(|k| w.full.get(k)).is_some_and(|t| *t > self.now);
@@ -871,8 +879,10 @@
             self.prefixes.values_mut().for_each(|holders| holders.retain(|w, _| *w != e.worker));
             self.sessions.retain(|_, (w, _)| *w != e.worker);
             let slowness = Average::from_prior(1.0, 1.0 / LEARN); // one odd answer says little
-            let fresh =
-                Worker { slowness, role, memory, told: self.now, started: e.started, ..Worker::default() };
+            // Routers are told together: their turns come one after another all the same.
+            let turn = unit(xxh3_64_with_seed(e.worker.0.as_bytes(), self.seed));
+            let (told, started) = (self.now, e.started);
+            let fresh = Worker { slowness, role, memory, turn, told, started, ..Worker::default() };
             self.workers.insert(e.worker.clone(), fresh);
         }
         if let Some(w) = self.workers.get_mut(&e.worker) {
@@ -902,27 +912,36 @@
         w.started.is_some_and(|at| self.now < at.saturating_add(self.set.cold))
     }
 
-    /// The cold budget: this router's part of half the multiple (the other half is for chance) of the least
-    /// that the worker can do, in evenly spaced sends, the first after a wait that differs between routers,
-    /// or all of them would send at once. What a warm worker can do is what its peers were seen to complete,
-    /// never what they were sent: in a storm of retries most of that is turned away; or its part of what the
-    /// tenants are promised. Routers that see nothing take turns. Guards against restarts under any load and
-    /// of any number of routers; too careful when warm workers are idle.
-    fn cold_allows(&self, id: &WorkerId, w: &Worker) -> bool {
-        if !self.cold(w) {
-            return true;
-        }
-        let warm =
-            self.workers.values().filter(|p| p.role == w.role && p.status == Status::Ready && !self.cold(p));
-        let (done, size) =
-            warm.fold((0.0, 0.0), |(d, s), p| (d + p.done.left(self.now, HALF_LIFE), s + p.weight));
-        let seen = done / f64::max(size, 1e-9) * w.weight * std::f64::consts::LN_2 / HALF_LIFE as f64;
-        let promised = self.tenants.values().map(|t| t.0).sum::<f64>() / 1e6;
-        let each = seen.max(promised / self.most[w.role as usize].max(1) as f64);
-        let turn = 1.0 / (self.set.fall.max(1) as f64 * f64::from(self.set.routers.max(1)));
-        let rate = (each * self.set.fall_multiple * self.set.cold_from / 2.0).max(turn);
-        let wait = unit(xxh3_64_with_seed(id.0.as_bytes(), self.seed)) / rate;
-        self.now as f64 >= w.sent.map_or(w.told as f64 + wait, |at| at as f64 + 1.0 / rate)
+    /// The part of its capacity that a worker has at least: it is taken to grow evenly.
+    fn warmth(&self, w: &Worker) -> f64 {
+        let age = w.started.map_or(f64::MAX, |at| self.now.saturating_sub(at) as f64);
+        let part = (age / self.set.cold.max(1) as f64).min(1.0);
+        (self.set.cold_from + (1.0 - self.set.cold_from) * part).max(0.05)
+    }
+
+    /// Lets the cold budgets grow: a cold worker's turn comes nearer by this router's part of half the multiple
+    /// (the other half is for chance) of what the worker can do by now. What a warm worker can do is what its
+    /// peers were seen to complete, never what they were sent: in a storm of retries most of that is turned
+    /// away; or its part of what the tenants are promised. Routers that see nothing take turns. Guards against
+    /// restarts under any load and of any number of routers; too careful when warm workers are idle.
+    fn accrue(&mut self) {
+        let since = std::mem::replace(&mut self.accrued, self.now);
+        let middle = since + (self.now - since.min(self.now)) / 2;
+        let cold: Vec<WorkerId> =
+            self.workers.iter().filter(|(_, w)| self.cold(w)).map(|(id, _)| id.clone()).collect();
+        for id in cold {
+            let w = &self.workers[&id];
+            let peers = self.workers.values().filter(|p| p.role == w.role && p.status == Status::Ready);
+            let (done, size) = (peers.filter(|p| !self.cold(p)))
+                .fold((0.0, 0.0), |(d, s), p| (d + p.done.left(middle, HALF_LIFE), s + p.weight));
+            let seen = done / f64::max(size, 1e-9) * w.weight * std::f64::consts::LN_2 / HALF_LIFE as f64;
+            let promised = self.tenants.values().map(|t| t.0).sum::<f64>() / 1e6;
+            let each = seen.max(promised / self.most[w.role as usize].max(1) as f64);
+            let least = 1.0 / (self.set.fall.max(1) as f64 * f64::from(self.set.routers.max(1)));
+            let rate = (each * self.set.fall_multiple * self.warmth(w) / 2.0).max(least);
+            let time = self.now - since.max(w.told).min(self.now);
+            self.workers.entry(id).and_modify(|w| w.turn = (w.turn + rate * time as f64).min(1.0));
+        }
     }
 
     // ------------------------------------------------------------ release
--- a/src/state.rs
+++ b/src/state.rs
@@ -70,8 +70,8 @@
     pub started: Option<Micros>,
     /// When this life of it was first listed.
     pub told: Micros,
-    /// The last send to it.
-    pub sent: Option<Micros>,
+    /// While it is cold, it may be sent work once this comes to 1; a send takes 1 away.
+    pub turn: f64,
     /// Work that it was seen to complete.
     pub done: Fading,
     pub report: Option<(Micros, Report)>,
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -600,6 +600,85 @@
     assert!(at_once <= 2, "{at_once} of 20 routers sent to the cold worker at once");
 }
 
+/// Found in ticket5632: of hundreds of routers hardly any had a prompt for a restarted reader when its turn came, and
+/// readers that could have worked stood idle beside jammed ones. All the same they must not push it over together.
+#[test]
+fn many_routers_together_use_what_a_cold_reader_can_do_and_no_more() {
+    const ROUTERS: u64 = 100;
+    const WARM: u64 = 40;
+    let set = Settings { routers: ROUTERS as u32, ..settings() };
+    let mut each_second = [0; 9];
+    for seed in 0..ROUTERS {
+        let mut rig = Rig { policy: Policy::new(set.clone(), seed), ..Rig::new(set.clone()) };
+        let name = |i: u64| format!("r{i}");
+        let mut list: Vec<Entry> = (1..=WARM).map(|i| entry(&name(i), 0, Status::Ready, None)).collect();
+        list.push(entry("w1", 0, Status::Ready, None));
+        rig.list(ListKind::Saved, list);
+        let started = rig.now + 5 * SECOND;
+        // Two requests a second: four in five begin with one of ten shared texts.
+        for i in 0..28 {
+            rig.now = 100 * SECOND + (i * 500 + seed * 5) * MS;
+            if i == 10 {
+                rig.list(ListKind::Changes, vec![entry("r0", 0, Status::Ready, Some(started))]);
+            }
+            let shared = !(i + seed).is_multiple_of(5);
+            let (prefix, prefix_tokens) =
+                if shared { (Some(format!("p{}", (i * 7 + seed) % 10).into()), 1_800) } else { (None, 0) };
+            let (request, session) = (RequestId(i), Some(format!("s{seed}-{i}").into()));
+            let sent = rig.ask_with(Ask { request, session, prefix, prefix_tokens, ..ask(rig.now, "safe") });
+            let cold = |a: &Action| matches!(a, Action::Send { worker, .. } if *worker.0 == *"r0");
+            if sent.iter().any(cold) {
+                each_second[(i / 2 - 5) as usize] += 1;
+            }
+            rig.now += 5 * MS;
+            rig.end(i, 0, Outcome::Read);
+            rig.end(i, 1, Outcome::Served);
+        }
+    }
+    // What a warm reader is seen to complete is no more than what it can do.
+    let warm = 2.0 * ROUTERS as f64 / WARM as f64;
+    let cold = |second: f64| warm * (set.cold_from + (1.0 - set.cold_from) * second / 10.0);
+    for (second, sent) in each_second.iter().enumerate() {
+        let limit = set.fall_multiple * cold(second as f64);
+        assert!(f64::from(*sent) <= limit, "{each_second:?}: more than {limit} in second {second}");
+    }
+    let whole: f64 = (0..9).map(|second| cold(f64::from(second))).sum();
+    assert!(f64::from(each_second.iter().sum::<i32>()) >= whole / 2.0, "{each_second:?} of {whole}");
+}
+
+/// A prompt that takes too long on a cold reader is not sent there, though its turn has come.
+#[test]
+fn a_cold_reader_is_not_sought_out_for_what_it_can_not_read_in_time() {
+    for (prompt_tokens, reader) in [(2_000, "r3"), (40_000, "r1")] {
+        let mut rig = Rig::fleet(Settings { tick: MS, ..settings() });
+        for id in 1..10 {
+            rig.ask(id, "safe");
+            rig.end(id, 0, Outcome::Read);
+            rig.end(id, 1, Outcome::Served);
+        }
+        let gone = ["r2"].map(|r| entry(r, 1, Status::Gone, None)).to_vec();
+        rig.list(ListKind::Changes, gone);
+        rig.list(ListKind::Changes, vec![entry("r3", 1, Status::Ready, Some(rig.now))]);
+        for id in 20..40 {
+            rig.now += 100 * MS;
+            let prefix = Some("p".into());
+            rig.ask_with(Ask {
+                request: RequestId(id),
+                prefix,
+                prefix_tokens: 1_900,
+                ..ask(rig.now, "safe")
+            });
+            rig.end(id, 0, Outcome::Read);
+            rig.end(id, 1, Outcome::Served);
+        }
+        // Its home is r1.
+        let session = Some("x".into());
+        let sent =
+            rig.ask_with(Ask { request: RequestId(50), session, prompt_tokens, ..ask(rig.now, "safe") });
+        assert_eq!(sends(&sent), [reader], "{prompt_tokens} tokens");
+    }
+}
+
 /// Without an answer the text may still be there: its repeat goes where it was read, not to a full read elsewhere;
 /// the home is common, so that a session's next turn at another router finds it.
 #[test]
