--- a/src/policy.rs
+++ b/src/policy.rs
@@ -345,7 +345,7 @@
             })
             .collect();
         // A cold reader whose turn has come gets the next prompt that no reader keeps anything of, if it can
-        // read it in time: with hundreds of routers none would come to it by itself before the turn has passed.
+        // read it in time: with hundreds of routers none would come to it by itself before the turn passes.
         if ask.prefix.is_none() && views.iter().all(|v| v.rest == prompt) {
             let takes = |v: &View| self.learned.read_pace.or(0.0) * v.rest * v.slow;
             let on_turn = views.iter().filter(|v| self.cold(&self.workers[v.id]) && takes(v) <= time);
@@ -919,11 +919,11 @@
         (self.set.cold_from + (1.0 - self.set.cold_from) * part).max(0.05)
     }
 
-    /// Lets the cold budgets grow: a cold worker's turn comes nearer by this router's part of half the multiple
-    /// (the other half is for chance) of what the worker can do by now. What a warm worker can do is what its
-    /// peers were seen to complete, never what they were sent: in a storm of retries most of that is turned
-    /// away; or its part of what the tenants are promised. Routers that see nothing take turns. Guards against
-    /// restarts under any load and of any number of routers; too careful when warm workers are idle.
+    /// Lets the cold budgets grow: a cold worker's turn comes nearer by this router's part of half the
+    /// multiple (the other half is for chance) of what the worker can do by now. What a warm worker can do is
+    /// what its peers were seen to complete, never what they were sent: in a storm of retries most of that is
+    /// turned away; or its part of what the tenants are promised. Routers that see nothing take turns. Guards
+    /// against restarts under any load and of any number of routers; too careful when warm workers are idle.
     fn accrue(&mut self) {
         let since = std::mem::replace(&mut self.accrued, self.now);
         let middle = since + (self.now - since.min(self.now)) / 2;
