Keep states in their cell when only one stream of ours is at the near writer

Where nothing tells of load, a writer's projected memory took each stream of this router for one of every router. One of 3,500 tokens is 2% of a writer; times two or three routers it passes 'clearly fuller' after two streams, and times a hundred the first one did: two writers in turn, whatever their cell.

A stream of ours says next to nothing of what the others do, so within the cell the difference is weighed as one router's. Which of the writers beyond the cell is taken stays as it was.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -478,7 +478,10 @@
         let roomy = |w: &Worker| w.keep[0] > 1.0;
         let in_zone = least(&|w| zone(w) && roomy(w)).or_else(|| least(&zone));
         for (far, candidate) in [least(&cell), in_zone].into_iter().enumerate() {
-            let fuller = CLEARLY_FULLER * worth(far, beyond);
+            // Without reports a stream of ours stands for one of each router: it says next to nothing of what
+            // they do, and is no reason to leave the cell.
+            let unsure = if far == 0 && self.set.load_unknown() { f64::from(self.set.routers) } else { 1.0 };
+            let fuller = CLEARLY_FULLER * unsure * worth(far, beyond);
             if let Some(w) = candidate.filter(|w| fill[w] <= fill[best] + fuller)
                 && luck < near.keep[far] * worth(far, far + 1).min(1.0 + CLEARLY_FULLER) * well
             {
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -600,6 +600,27 @@
     assert!(at_once <= 2, "{at_once} of 20 routers sent to the cold worker at once");
 }
 
+/// Where nothing tells of load, one stream of ours at the near writer was taken for one of every router, and states
+/// left their cell for nothing.
+#[test]
+fn one_stream_at_the_near_writer_is_no_reason_to_leave_the_cell() {
+    let mut near = 0;
+    for seed in 0..40 {
+        let set = Settings { routers: 100, ..settings() };
+        let mut rig = Rig { policy: Policy::new(set.clone(), seed), ..Rig::new(set) };
+        let list = [("r1", 0), ("w1", 0), ("r2", 1), ("w2", 1)];
+        rig.list(ListKind::Saved, list.iter().map(|(w, c)| entry(w, *c, Status::Ready, None)).collect());
+        for id in 1..=4 {
+            rig.ask(id, "safe");
+            rig.end(id, 0, Outcome::Read);
+            let [.., reader, writer] = sends(&rig.log)[..] else { panic!("two sends a request") };
+            near += usize::from(reader[1..] == writer[1..]);
+            rig.event(Event::Started { request: RequestId(id), attempt: AttemptIndex(1), elapsed: 20 * MS });
+        }
+    }
+    assert!(near >= 150, "{near} of 160 states stayed in their cell");
+}
+
 /// Found in ticket5632: of hundreds of routers hardly any had a prompt for a restarted reader when its turn came, and
 /// readers that could have worked stood idle beside jammed ones. All the same they must not push it over together.
 #[test]
