Give up a late state that a writer did not begin in time, at once

Now a state that some writer did not begin in time is refused, with the usual advice, once its aim has passed.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -85,6 +85,11 @@
         })
     }
 
+    /// Whether some writer did not begin it in time.
+    fn hung_at_a_writer(&self) -> bool {
+        self.attempts.iter().any(|a| a.writes && a.outcome == Some(Outcome::NoAnswer))
+    }
+
     fn growth(&self, class: &Class) -> f64 {
         let half = self.ask.max_tokens as f64 / 2.0;
         match self.ask.hint {
@@ -223,6 +228,10 @@
             Phase::Reading | Phase::Writing => self.finish(id, out),
             _ if hopeless || spent || stuck => self.finish(id, out),
             Phase::Waiting => self.begin(id, out),
+            // A writer had no room for it, and it is late now: all it can still do is make others late.
+            Phase::Held if r.hung_at_a_writer() && self.now >= r.arrived + self.aim(r) => {
+                self.finish(id, out)
+            }
             Phase::Held => {
                 let release_by = r.quiet_since + self.set.release.saturating_sub(margin + self.set.tick);
                 let reader = r.state.clone();
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -600,6 +600,27 @@
     assert!(at_once <= 2, "{at_once} of 20 routers sent to the cold worker at once");
 }
 
+/// Found in a release that left two of eight writers warm: states went from one jammed writer to the next until their
+/// clients left, and made all others late.
+#[test]
+fn a_late_state_that_a_writer_did_not_begin_in_time_is_given_up_at_once() {
+    for (waited, tried_again) in [(200 * MS, true), (SECOND, false)] {
+        let mut rig = Rig::fleet(settings());
+        rig.ask(1, "safe");
+        rig.end(1, 0, Outcome::Read);
+        rig.now += waited;
+        let next = rig.end(1, 1, Outcome::NoAnswer);
+        assert_eq!(sends(&next).len(), usize::from(tried_again), "after {waited} us");
+        assert_eq!(finals(&next), usize::from(!tried_again), "after {waited} us");
+        assert_eq!(next.contains(&Action::Release { request: RequestId(1) }), !tried_again);
+    }
+    // Late for another reason, its state is still worth a writer.
+    let mut rig = Rig::fleet(settings());
+    rig.ask(1, "safe");
+    rig.now += SECOND;
+    assert_eq!(sends(&rig.end(1, 0, Outcome::Read)).len(), 1);
+}
+
 /// Where nothing tells of load, one stream of ours at the near writer was taken for one of every router, and states
 /// left their cell for nothing.
 #[test]
