Wait longer for a read while reads are being given up

From the inherited program's debug log, all readers, each 2.5 s:

12.5 lectura NoAnswer 227, Read 233; median of reads that ended 766 ms 15.0 lectura NoAnswer 224, Read 250; median 752 ms 17.5 lectura NoAnswer 187, Read 283; median 1084 ms

The time-out of a short request was two thirds of its aim, 0.7 to 0.8 s. What was learned of the jam only doubled the expected time, some 30 ms a read, far under that floor. Now each read given up doubles the whole time-out of the next, and each read that ends takes one doubling back.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -561,6 +561,8 @@
         let due = self.set.connect_timeout.saturating_add(whole.max((OVERDUE * expected as f64) as Micros));
         let part = if writes || !self.set.load_unknown() { STAGE_PART } else { 1.0 - STAGE_PART };
         let due = due.max((self.aim(r) as f64 * part) as Micros);
+        // Reads just given up show a jam, and readers go on with them: the next one is waited for longer.
+        let due = if writes { due } else { due.saturating_mul(1 << self.patience[0]) };
         // Where the time left doesn't hold two tries of this length, one whole try is the better chance.
         let due = if left / 2 > expected { due.min(left - expected) } else { left };
         let timeout = (!last).then_some(due);
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -600,6 +600,30 @@
     assert!(at_once <= 2, "{at_once} of 20 routers sent to the cold worker at once");
 }
 
+/// Found in ticket5632: where every read takes longer than its time-out, readers read for nobody. The time-out's floor
+/// has to give way, too, and come back with the reads.
+#[test]
+fn reads_given_up_make_the_next_one_wait_longer_until_reads_end_again() {
+    let mut rig = Rig::fleet(settings());
+    let timeout = |rig: &mut Rig, id, outcome| {
+        let request = RequestId(id);
+        let sent = rig.ask_with(Ask { request, deadline: rig.now + 60 * SECOND, ..ask(rig.now, "safe") });
+        let timeouts = sent.iter().find_map(|a| match a {
+            Action::Send { timeout, .. } => *timeout,
+            _ => None,
+        });
+        rig.end(id, 0, outcome);
+        rig.event(Event::Left { request });
+        timeouts.unwrap()
+    };
+    let floor = timeout(&mut rig, 1, Outcome::Read);
+    assert_eq!(timeout(&mut rig, 2, Outcome::NoAnswer), floor);
+    assert!(timeout(&mut rig, 3, Outcome::NoAnswer) >= 2 * floor);
+    assert!(timeout(&mut rig, 4, Outcome::Read) >= 4 * floor);
+    timeout(&mut rig, 5, Outcome::Read);
+    assert_eq!(timeout(&mut rig, 6, Outcome::Read), floor);
+}
+
 /// Found in a release that left two of eight writers warm: states went from one jammed writer to the next until their
 /// clients left, and made all others late.
 #[test]
