--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1,4 +1,4 @@
-//! The decisions. Settings, events and actions: `src/interface.rs`. Why it is built so: `docs/design.md`.
+//! The decisions. Settings, events and actions: `src/interface.rs`. What shaped them: `docs/incidents`.
 //!
 //! Preble's E2 decides the ordinary path; everything else answers a trouble and says which.
 
