--- a/src/policy.rs
+++ b/src/policy.rs
@@ -940,16 +940,23 @@
     /// against restarts under any load and of any number of routers; too careful when warm workers are idle.
     fn accrue(&mut self) {
         let since = std::mem::replace(&mut self.accrued, self.now);
-        let middle = since + (self.now - since.min(self.now)) / 2;
         let cold: Vec<WorkerId> =
             self.workers.iter().filter(|(_, w)| self.cold(w)).map(|(id, _)| id.clone()).collect();
+        if cold.is_empty() {
+            return;
+        }
+        let middle = since + (self.now - since.min(self.now)) / 2;
+        let promised = self.tenants.values().map(|t| t.0).sum::<f64>() / 1e6;
+        // By role: what warm workers were seen to complete, and their size.
+        let mut warm = [(0.0, 0.0); 3];
+        for w in self.workers.values().filter(|w| w.status == Status::Ready && !self.cold(w)) {
+            let (done, size) = &mut warm[w.role as usize];
+            (*done, *size) = (*done + w.done.left(middle, HALF_LIFE), *size + w.weight);
+        }
         for id in cold {
             let w = &self.workers[&id];
-            let peers = self.workers.values().filter(|p| p.role == w.role && p.status == Status::Ready);
-            let (done, size) = (peers.filter(|p| !self.cold(p)))
-                .fold((0.0, 0.0), |(d, s), p| (d + p.done.left(middle, HALF_LIFE), s + p.weight));
+            let (done, size) = warm[w.role as usize];
             let seen = done / f64::max(size, 1e-9) * w.weight * std::f64::consts::LN_2 / HALF_LIFE as f64;
-            let promised = self.tenants.values().map(|t| t.0).sum::<f64>() / 1e6;
             let each = seen.max(promised / self.most[w.role as usize].max(1) as f64);
             let least = 1.0 / (self.set.fall.max(1) as f64 * f64::from(self.set.routers.max(1)));
             let rate = (each * self.set.fall_multiple * self.warmth(w) / 2.0).max(least);
