Let the limit of a held state run on while writers cannot be reached

The state waits 1.02 s; the limit is 0.5 s, and 0.3 s more on sockets.

At fault: `ended` in src/policy.rs set `quiet_since` at every outcome, also of what reached nobody, and `step` looked for a writer before it looked at the limit. Both are mended.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -235,11 +235,11 @@
             Phase::Held => {
                 let release_by = r.quiet_since + self.set.release.saturating_sub(margin + self.set.tick);
                 let reader = r.state.clone();
-                if let Some(writer) = self.pick_writer(id, reader.as_ref()) {
-                    self.send(id, &writer, None, out);
-                } else if self.now >= release_by {
+                if self.now >= release_by {
                     self.release(id, out);
                     self.requests.entry(id).and_modify(|r| r.phase = Phase::Waiting);
+                } else if let Some(writer) = self.pick_writer(id, reader.as_ref()) {
+                    self.send(id, &writer, None, out);
                 }
             }
         }
@@ -701,7 +701,10 @@
             }
             _ => {}
         }
-        r.quiet_since = now;
+        // What reached nobody does not take the state: its limit runs on.
+        if !matches!(outcome, Outcome::NoConnection | Outcome::NotSent) {
+            r.quiet_since = now;
+        }
         let (worker, writes, work, sent) = (a.worker.clone(), a.writes, a.work, a.sent);
         let (far, first) = (a.far, a.first);
         let unread = r.ask.prompt_tokens.saturating_sub(kept) as f64;
--- a/src/state.rs
+++ b/src/state.rs
@@ -121,7 +121,7 @@
     pub state: Option<WorkerId>,
     /// Probes sent for it.
     pub probes: u32,
-    /// The last outcome: the release limit counts from here.
+    /// The last outcome of an attempt that reached a worker: the release limit counts from here.
     pub quiet_since: Micros,
 }
 
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -410,6 +410,24 @@
     assert_eq!(releases(&within), 1, "not released by {} us", rig.now - read_at);
 }
 
+/// Found on the short days with cuts: each writer that could not be reached renewed the limit of the state held.
+#[test]
+fn writers_that_cannot_be_reached_do_not_renew_the_limit_of_a_held_state() {
+    let mut rig = Rig::fleet(settings());
+    rig.ask(1, "safe");
+    rig.end(1, 0, Outcome::Read);
+    let read_at = rig.now;
+    let mut attempt = 1;
+    while releases(&rig.log) == 0 {
+        rig.pass(250 * MS);
+        rig.end(1, attempt, Outcome::NoConnection);
+        attempt += 1;
+    }
+    // The last connection that is waited for may have begun just inside the limit.
+    assert!(rig.now - read_at <= 750 * MS, "let go after {} ms", (rig.now - read_at) / MS);
+    assert_eq!(finals(&rig.log), 0);
+}
+
 #[test]
 fn a_read_that_ends_after_the_client_left_is_released() {
     let mut rig = Rig::fleet(settings());
