Give cold turns by number and birth, and let those that are not taken lapse

A cold server falls under the sum of what all processes send.

At fault: `entry` and `accrue` in src/policy.rs. The turn now begins at a place that goes round the routers from the server's `born_ms` on, by their numbers and count. A turn lapses after the window times 1 + 4 / root of N: what is saved up and spent in one window then comes to N / 2 + N / 2 + 2 root N.

The tests with many routers now give each one its number, as the settings do; all had called themselves number 0.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -29,6 +29,8 @@
 const SICK: f64 = 0.5;
 /// Most trials of a sick worker in a row that double the wait before the next one.
 const MAX_DOUBLINGS: u32 = 4;
+/// Roots of a cold budget that a window may go over it by chance (2, by the rule), over half of the budget.
+const CHANCE: f64 = 4.0;
 /// Sweeps in each release limit: fine enough that nothing held comes near it.
 const SWEEPS: Micros = 12;
 
@@ -896,8 +898,13 @@
             self.prefixes.values_mut().for_each(|holders| holders.retain(|w, _| *w != e.worker));
             self.sessions.retain(|_, (w, _)| *w != e.worker);
             let slowness = Average::from_prior(1.0, 1.0 / LEARN); // one odd answer says little
-            // Routers are told together: their turns come one after another all the same.
-            let turn = unit(xxh3_64_with_seed(e.worker.0.as_bytes(), self.seed));
+            // The least budget goes round the routers, one after another from the worker's start on: none has
+            // its turn again by starting anew, and those that are told together do not send together.
+            let (routers, born) = (u64::from(self.set.routers.max(1)), e.started.unwrap_or_default());
+            let first = xxh3_64_with_seed(e.worker.0.as_bytes(), born) % routers;
+            let slot = (first + u64::from(self.set.index)) % routers;
+            let gone_round = self.now.saturating_sub(born) as f64 / self.set.fall.max(1) as f64;
+            let turn = ((slot as f64 + 0.5 + gone_round) / routers as f64).fract();
             let (told, started) = (self.now, e.started);
             let fresh = Worker { slowness, role, memory, turn, told, started, ..Worker::default() };
             self.workers.insert(e.worker.clone(), fresh);
@@ -940,7 +947,8 @@
     /// multiple (the other half is for chance) of what the worker can do by now. What a warm worker can do is
     /// what its peers were seen to complete, never what they were sent: in a storm of retries most of that is
     /// turned away; or its part of what the tenants are promised. Routers that see nothing take turns. Guards
-    /// against restarts under any load and of any number of routers; too careful when warm workers are idle.
+    /// against restarts under any load and of any number of routers; too careful when warm workers are idle. A
+    /// turn that is not taken lapses: dozens of routers that saved theirs up would spend them on one burst.
     fn accrue(&mut self) {
         let since = std::mem::replace(&mut self.accrued, self.now);
         let cold: Vec<WorkerId> =
@@ -964,7 +972,18 @@
             let least = 1.0 / (self.set.fall.max(1) as f64 * f64::from(self.set.routers.max(1)));
             let rate = (each * self.set.fall_multiple * self.warmth(w) / 2.0).max(least);
             let time = self.now - since.max(w.told).min(self.now);
-            self.workers.entry(id).and_modify(|w| w.turn = (w.turn + rate * time as f64).min(1.0));
+            let per_window = rate * self.set.fall as f64;
+            let budget = 2.0 * per_window * f64::from(self.set.routers.max(1));
+            // What is saved up and spent in one window comes to the whole budget and its slack for chance.
+            let saved = per_window * (1.0 + CHANCE / budget.sqrt());
+            self.workers.entry(id).and_modify(|w| {
+                w.turn += rate * time as f64;
+                if saved >= 1.0 {
+                    w.turn = w.turn.min(1.0);
+                } else if w.turn >= 1.0 + saved {
+                    w.turn = w.turn.fract();
+                }
+            });
         }
     }
 
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -605,7 +605,7 @@
 fn many_routers_start_a_cold_worker_one_after_another() {
     let mut first = Vec::new();
     for seed in 0..20 {
-        let set = Settings { routers: 100, ..settings() };
+        let set = Settings { routers: 100, index: 5 * seed as u32, ..settings() };
         let mut rig = Rig { policy: Policy::new(set.clone(), seed), ..Rig::new(set) };
         let warm = [entry("w1", 0, Status::Ready, None), entry("w2", 0, Status::Ready, None)];
         rig.list(ListKind::Saved, warm.to_vec());
@@ -618,6 +618,84 @@
     assert!(at_once <= 2, "{at_once} of 20 routers sent to the cold worker at once");
 }
 
+/// A server falls under the sum of what all routers send: turns that were saved up in a quiet stretch must not be
+/// spent together on one burst.
+#[test]
+fn thirty_routers_that_saved_their_turns_up_stay_within_the_fleet_s_budget() {
+    const ROUTERS: u32 = 30;
+    let names = ["r3", "r1", "r2", "w1"];
+    let fleet = names.map(|w| entry(w, 0, Status::Ready, None));
+    // A text that is at home at a warm reader, also beside the cold one.
+    let at_home = |name: &String| {
+        let mut rig = Rig::new(settings());
+        rig.list(ListKind::Saved, fleet.to_vec());
+        let prefix = Some(name.as_str().into());
+        sends(&rig.ask_with(Ask { prefix, prefix_tokens: 1_990, ..ask(rig.now, "safe") })) != ["r3"]
+    };
+    let text = (0..).map(|i| format!("p{i}")).find(at_home).unwrap();
+    let (mut burst, mut quiet) = (0, 0);
+    for index in 0..ROUTERS {
+        let set = Settings { routers: ROUTERS, index, ..settings() };
+        let mut rig = Rig { policy: Policy::new(set.clone(), u64::from(index)), ..Rig::new(set) };
+        rig.list(ListKind::Saved, fleet[1..].to_vec());
+        // Three requests a second at each warm reader, from all routers together.
+        for id in 0..18 {
+            rig.now = 100 * SECOND + id * SECOND + SECOND * u64::from(index) / u64::from(ROUTERS);
+            if id == 10 {
+                rig.list(ListKind::Changes, vec![entry("r3", 0, Status::Ready, Some(110 * SECOND))]);
+            }
+            if (id + u64::from(index)).is_multiple_of(5) {
+                let (request, prefix) = (RequestId(id), Some(text.as_str().into()));
+                let sent =
+                    rig.ask_with(Ask { request, prefix, prefix_tokens: 1_990, ..ask(rig.now, "safe") });
+                quiet += usize::from(sends(&sent) == ["r3"]);
+                rig.end(id, 0, Outcome::Read);
+                rig.end(id, 1, Outcome::Served);
+            }
+        }
+        rig.now = 118 * SECOND;
+        for id in 20..25 {
+            rig.now += 20 * MS;
+            burst += usize::from(sends(&rig.ask(id, "safe")).first() == Some(&"r3"));
+        }
+    }
+    let set = settings();
+    let warm = f64::from(ROUTERS) / 5.0 / 2.0;
+    let n = set.fall_multiple * warm * (set.cold_from + (1.0 - set.cold_from) * 0.8);
+    assert_eq!(quiet, 0);
+    assert!(burst as f64 <= n + 2.0 * n.sqrt() + 2.0, "{burst} at once, with a budget of {n}");
+    assert!(burst >= 2, "{burst} at once: the cold reader is not used");
+}
+
+/// A turn is the process's by its number and the server's start, not by its own start.
+#[test]
+fn a_router_that_starts_anew_does_not_have_its_turn_again() {
+    let begin = |now: Micros, seed: u64, born: Micros| {
+        let set = Settings { routers: 8, index: 3, ..settings() };
+        let mut rig = Rig { policy: Policy::new(set.clone(), seed), now, ..Rig::new(set) };
+        let cold = [("r1", Some(born)), ("w1", None)].map(|(w, born)| entry(w, 0, Status::Ready, born));
+        rig.list(ListKind::Saved, cold.to_vec());
+        rig
+    };
+    let sends_within = |rig: &mut Rig, time: Micros| {
+        let until = rig.now + time;
+        while rig.now < until {
+            rig.now += 50 * MS;
+            if !sends(&rig.ask(rig.now, "safe")).is_empty() {
+                return true;
+            }
+        }
+        false
+    };
+    let born = 100 * SECOND;
+    let mut rig = begin(born, 0, born);
+    assert!(sends_within(&mut rig, 9 * SECOND), "its turn never came");
+    for seed in 1..20 {
+        let mut again = begin(rig.now + 50 * MS, seed, born);
+        assert!(!sends_within(&mut again, 4 * SECOND), "sent again after a new start");
+    }
+}
+
 /// Found in ticket5632: where every read takes longer than its time-out, readers read for nobody. The time-out's floor
 /// has to give way, too, and come back with the reads.
 #[test]
@@ -669,7 +747,7 @@
 fn one_stream_at_the_near_writer_is_no_reason_to_leave_the_cell() {
     let mut near = 0;
     for seed in 0..40 {
-        let set = Settings { routers: 100, ..settings() };
+        let set = Settings { routers: 100, index: 5 * seed as u32, ..settings() };
         let mut rig = Rig { policy: Policy::new(set.clone(), seed), ..Rig::new(set) };
         let list = [("r1", 0), ("w1", 0), ("r2", 1), ("w2", 1)];
         rig.list(ListKind::Saved, list.iter().map(|(w, c)| entry(w, *c, Status::Ready, None)).collect());
@@ -693,7 +771,8 @@
     let set = Settings { routers: ROUTERS as u32, ..settings() };
     let mut each_second = [0; 9];
     for seed in 0..ROUTERS {
-        let mut rig = Rig { policy: Policy::new(set.clone(), seed), ..Rig::new(set.clone()) };
+        let set = Settings { index: seed as u32, ..set.clone() };
+        let mut rig = Rig { policy: Policy::new(set.clone(), seed), ..Rig::new(set) };
         let name = |i: u64| format!("r{i}");
         let mut list: Vec<Entry> = (1..=WARM).map(|i| entry(&name(i), 0, Status::Ready, None)).collect();
         list.push(entry("w1", 0, Status::Ready, None));
@@ -769,7 +848,7 @@
 fn the_next_turn_at_another_router_goes_where_the_first_was_read() {
     let mut readers = Vec::new();
     for seed in 0..8 {
-        let set = Settings { routers: 100, ..settings() };
+        let set = Settings { routers: 100, index: 5 * seed as u32, ..settings() };
         let mut rig = Rig { policy: Policy::new(set.clone(), seed), ..Rig::new(set) };
         let list = [("r1", 0), ("r2", 1), ("r3", 1), ("w1", 0)];
         rig.list(ListKind::Saved, list.iter().map(|(w, c)| entry(w, *c, Status::Ready, None)).collect());
@@ -830,7 +909,7 @@
 fn a_lone_writer_beside_many_readers_is_not_given_all_their_states() {
     let mut near = 0;
     for seed in 0..40 {
-        let set = Settings { routers: 100, ..settings() };
+        let set = Settings { routers: 100, index: 5 * seed as u32, ..settings() };
         let mut rig = Rig { policy: Policy::new(set.clone(), seed), ..Rig::new(set) };
         let list = [("r1", 0), ("r2", 0), ("r3", 0), ("w1", 0), ("w2", 1), ("w3", 1)];
         rig.list(ListKind::Saved, list.iter().map(|(w, c)| entry(w, *c, Status::Ready, None)).collect());
