--- a/src/policy.rs
+++ b/src/policy.rs
@@ -947,7 +947,7 @@
     /// multiple (the other half is for chance) of what the worker can do by now. What a warm worker can do is
     /// what its peers were seen to complete, never what they were sent: in a storm of retries most of that is
     /// turned away; or its part of what the tenants are promised. Routers that see nothing take turns. Guards
-    /// against restarts under any load and of any number of routers; too careful when warm workers are idle. A
+    /// against restarts under any load and of any number of routers; careful when warm workers are idle. A
     /// turn that is not taken lapses: dozens of routers that saved theirs up would spend them on one burst.
     fn accrue(&mut self) {
         let since = std::mem::replace(&mut self.accrued, self.now);
