--- a/src/main.rs
+++ b/src/main.rs
@@ -14,7 +14,7 @@
 use whinhaven::front::jsonrpc::Front;
 use whinhaven::interface::ListKind;
 use whinhaven::net::client::Hosts;
-use whinhaven::net::discovery::{Directory, Follower, Pace};
+use whinhaven::net::discovery::{Directory, Follower, Pace, dial_tcp};
 use whinhaven::net::pool::Pool;
 use whinhaven::net::server::{Connections, Edge, Listener, OVER, Shared, Stage};
 
@@ -173,6 +173,7 @@
             move |worker| pool.hang_up(worker)
         }),
         fetch_list,
+        dial: dial_tcp(),
         pace: Pace::new(&settings, config.seed),
         counters: counters.clone(),
     };
