See a client's close behind its later requests, and begin no pending attempt for it

A client that closes its connection has gone: an attempt that begins more than 0.1 s later is a break. hyper looks for the close only while nothing waits unread, so behind the bytes of a later request it saw none: in the new test a client sends three requests and closes while the first is read; two were sent on and clients_left stayed 0, 5 s later.

At fault: src/net/server.rs and framing.rs left the close to hyper. While a request is in hand, and before one is taken, what has come is now read ahead within the bound on bodies; a close ends the connection and all that waits on it. Where there is no room to read on, the system's word of a close counts. And `Input::Left` in src/core dropped only what streamed: where attempts may not be dropped, one that still connected went out. It is stopped as long as nothing of it is written.

Ruled out: clients that send one request (the close was seen at once, by an earlier test), timers and queues of the module (nothing is sent for a request that is done).

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -61,6 +61,8 @@
     pub after: Option<Rc<Releasing>>,
     /// Resolves, or its other end is dropped, when the attempt is to be dropped.
     pub cancelled: oneshot::Receiver<()>,
+    /// To be set before anything of the request is written.
+    pub begun: Rc<Cell<bool>>,
 }
 
 /// A release in progress, as seen from both ends.
@@ -224,6 +226,7 @@
     sent: Micros,
     cancel: Option<oneshot::Sender<()>>,
     outcome: Option<Outcome>,
+    begun: Rc<Cell<bool>>,
     streaming: bool,
 }
 
@@ -317,7 +320,8 @@
                 self.counters.clients_left.up();
                 // Nobody is there to hear it; the handle's own failure goes nowhere.
                 open.answer = None;
-                for slot in open.attempts.iter_mut().filter(|s| s.streaming) {
+                // What has not begun does not begin for nobody, also where attempts may not be dropped.
+                for slot in open.attempts.iter_mut().filter(|s| s.streaming || !s.begun.get()) {
                     slot.cancel = None;
                 }
                 self.handle(Event::Left { request });
@@ -519,7 +523,9 @@
         let until = timeout.map_or(open.deadline, |t| open.deadline.min(now.saturating_add(t)));
         let attempt = AttemptIndex(open.attempts.len() as u32);
         let (cancel, cancelled) = oneshot::channel();
-        open.attempts.push(Slot { sent: now, cancel: Some(cancel), outcome: None, streaming: false });
+        let begun = Rc::<Cell<bool>>::default();
+        let (cancel, slot_begun) = (Some(cancel), begun.clone());
+        open.attempts.push(Slot { sent: now, cancel, outcome: None, begun: slot_begun, streaming: false });
         let call = open.call.clone();
         log::debug!(
             "request {}: attempt {} to {}, {} us",
@@ -529,7 +535,7 @@
             until.saturating_sub(now)
         );
         let after = open.releasing.take();
-        self.outbound.send(Attempt { request, attempt, worker, call, until, after, cancelled });
+        self.outbound.send(Attempt { request, attempt, worker, call, until, after, cancelled, begun });
     }
 
     fn release(&mut self, request: RequestId) {
--- a/src/main.rs
+++ b/src/main.rs
@@ -13,6 +13,7 @@
 use whinhaven::counters::Counters;
 use whinhaven::front::jsonrpc::Front;
 use whinhaven::interface::ListKind;
+use whinhaven::net::budget::Budget;
 use whinhaven::net::client::Hosts;
 use whinhaven::net::discovery::{Directory, Follower, Pace, dial_tcp};
 use whinhaven::net::pool::Pool;
@@ -191,7 +192,7 @@
         classes: settings.classes.iter().map(|c| c.name.clone()).collect(),
         ready: Box::new(ready),
         counters: counters.clone(),
-        budget: Cell::new(config.limits.memory_mb * 1024 * 1024 / 3),
+        budget: Budget::new(config.limits.memory_mb * 1024 * 1024 / 3),
         ids: RefCell::default(),
     });
     let seed = config.seed;
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -165,6 +165,7 @@
         let left = attempt.until.saturating_sub(clock.now());
         let Some(request) = passed_on(&attempt.call, left) else { return Outcome::NotSent.into() };
         self.counters.sent.up();
+        attempt.begun.set(true);
         let meter = connection.meter();
         // What never left whole has never run.
         let cut_off = |outcome: Outcome| if meter.complete() { outcome } else { Outcome::NoConnection };
--- a/src/net/framing.rs
+++ b/src/net/framing.rs
@@ -3,17 +3,25 @@
 //! hyper settles a head with both `Content-Length` and `Transfer-Encoding` by dropping the one, and before the
 //! service can see it. Such a head may hide a second request in its body, so heads are looked at here, as bytes.
 
+use super::budget::{Budget, Held};
+use super::socket::Socket;
+use bytes::BytesMut;
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+/// Bytes of later requests that are read while one is in hand: one more of the longest, and its head.
+const MOST_AHEAD: usize = 320 * 1024;
+/// Between two looks for more of them: well within the 0.1 s after which nothing may be sent on for a client that left.
+const LOOK_AGAIN: Duration = Duration::from_millis(20);
 /// Bytes of one header line that are looked at; framing headers are far shorter.
 const MOST_HEADER: usize = 256;
 
@@ -30,6 +38,10 @@
 
 /// What is known of a client connection, shared between its socket, its supervisor and its service.
 pub struct Watch {
+    stream: Rc<TcpStream>,
+    /// What was read before hyper wanted it, and its part of the budget.
+    ahead: RefCell<(BytesMut, Held)>,
+    left: Cell<bool>,
     standing: Cell<Standing>,
     blocked: Cell<bool>,
     unwanted: Cell<bool>,
@@ -40,8 +52,11 @@
 
 impl Watch {
     /// A connection accepted now.
-    pub fn new() -> Rc<Self> {
+    pub fn new(stream: Rc<TcpStream>, budget: Rc<Budget>) -> Rc<Self> {
         Rc::new(Watch {
+            stream,
+            ahead: RefCell::new((BytesMut::new(), Held::new(budget))),
+            left: Cell::new(false),
             standing: Cell::new(Standing::Idle(Instant::now())),
             blocked: Cell::new(false),
             unwanted: Cell::new(false),
@@ -51,6 +66,11 @@
         })
     }
 
+    /// Its socket.
+    pub fn stream(&self) -> &Rc<TcpStream> {
+        &self.stream
+    }
+
     /// Where it stands.
     pub fn standing(&self) -> Standing {
         self.standing.get()
@@ -76,6 +96,43 @@
         self.changed.notified().await;
     }
 
+    /// Whether the client has closed the connection by now. hyper looks no further than the next bytes: behind those of
+    /// a later request it would see the close only once it comes to them. So what has come is read here, up to a bound.
+    pub fn has_left(&self) -> bool {
+        let mut ahead = self.ahead.borrow_mut();
+        let (bytes, held) = &mut *ahead;
+        let mut part = [0; 4 * 1024];
+        while !self.left.get() && bytes.len() < MOST_AHEAD && held.grow(part.len()) {
+            match self.stream.try_read(&mut part) {
+                Ok(n) if n > 0 => {
+                    held.shrink(part.len() - n);
+                    bytes.extend_from_slice(&part[..n]);
+                    continue;
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => held.shrink(part.len()),
+                _ => {
+                    held.shrink(part.len());
+                    self.left.set(true);
+                }
+            }
+            break;
+        }
+        self.left.get()
+    }
+
+    /// Resolves when the client has closed the connection.
+    pub async fn left(&self) {
+        while !self.has_left() {
+            let Ok(ready) = self.stream.ready(Interest::READABLE).await else { return };
+            // Also where there is no room to read on: the system tells of a close behind bytes, too.
+            if ready.is_read_closed() {
+                return;
+            }
+            // Bytes for which there is no room are readable all the time.
+            tokio::time::sleep(LOOK_AGAIN).await;
+        }
+    }
+
     fn stand(&self, standing: Standing) {
         self.standing.set(standing);
         self.changed.notify_one();
@@ -216,21 +273,16 @@
     }
 }
 
-/// The socket itself.
+/// The socket as hyper sees it.
 pub struct Watched {
-    stream: TcpStream,
+    socket: Socket,
     watch: Rc<Watch>,
 }
 
 impl Watched {
     /// A client's socket.
-    pub fn new(stream: TcpStream, watch: Rc<Watch>) -> Self {
-        Watched { stream, watch }
-    }
-
-    /// The socket alone.
-    pub fn into_inner(self) -> TcpStream {
-        self.stream
+    pub fn new(watch: Rc<Watch>) -> Self {
+        Watched { socket: Socket(watch.stream.clone()), watch }
     }
 
     fn wrote<T>(&self, result: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
@@ -246,10 +298,22 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        let result = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let watch = self.watch.clone();
+        let mut ahead = watch.ahead.borrow_mut();
+        let (bytes, held) = &mut *ahead;
+        let part = bytes.len().min(buf.remaining());
+        let result = if part > 0 {
+            buf.put_slice(&bytes.split_to(part));
+            held.shrink(part);
+            Poll::Ready(Ok(()))
+        } else if watch.left.get() {
+            Poll::Ready(Ok(()))
+        } else {
+            Pin::new(&mut self.socket).poll_read(cx, buf)
+        };
         let come = &buf.filled()[before..];
         if !come.is_empty() {
-            self.watch.read(come);
+            watch.read(come);
         }
         result
     }
@@ -257,7 +321,7 @@
 
 impl AsyncWrite for Watched {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let result = Pin::new(&mut self.stream).poll_write(cx, buf);
+        let result = Pin::new(&mut self.socket).poll_write(cx, buf);
         self.wrote(result)
     }
 
@@ -266,20 +330,20 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let result = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        let result = Pin::new(&mut self.socket).poll_write_vectored(cx, bufs);
         self.wrote(result)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        self.socket.is_write_vectored()
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        Pin::new(&mut self.socket).poll_flush(cx)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+        Pin::new(&mut self.socket).poll_shutdown(cx)
     }
 }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,12 +1,14 @@
 //! The conductor on sockets: tower services over hyper. [`server`] faces clients; [`client`], [`pool`] and
 //! [`discovery`] face model hosts and discovery. The two sides meet in an exchange only.
 
+pub mod budget;
 pub mod client;
 pub mod discovery;
 pub mod events;
 pub mod framing;
 pub mod pool;
 pub mod server;
+pub mod socket;
 
 use std::pin::Pin;
 
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -4,6 +4,7 @@
 //! written: whether an attempt may have run hangs on that, and hyper doesn't tell.
 
 use super::Local;
+use super::socket::Socket;
 use crate::counters::Counters;
 use crate::interface::WorkerId;
 use bytes::Bytes;
@@ -73,22 +74,19 @@
     }
 }
 
-/// A socket whose writes are counted. It is shared with the connection's owner, who has to see what waits on it
-/// before hyper does.
+/// A socket whose writes are counted.
 struct Metered {
-    stream: Rc<TcpStream>,
+    socket: Socket,
     meter: Rc<Meter>,
 }
 
 impl AsyncRead for Metered {
-    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        loop {
-            ready!(self.stream.poll_read_ready(cx))?;
-            match self.stream.try_read_buf(buf) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                done => return Poll::Ready(done.map(|_| ())),
-            }
-        }
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_read(cx, buf)
     }
 }
 
@@ -98,17 +96,11 @@
     }
 
     fn poll_write_vectored(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let written = loop {
-            ready!(self.stream.poll_write_ready(cx))?;
-            match self.stream.try_write_vectored(bufs) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                done => break done?,
-            }
-        };
+        let written = ready!(Pin::new(&mut self.socket).poll_write_vectored(cx, bufs))?;
         let mut left = written;
         for buf in bufs {
             let part = left.min(buf.len());
@@ -119,21 +111,22 @@
     }
 
     fn is_write_vectored(&self) -> bool {
-        true
+        self.socket.is_write_vectored()
     }
 
-    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(Ok(()))
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_flush(cx)
     }
 
-    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(SockRef::from(&*self.stream).shutdown(std::net::Shutdown::Write))
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_shutdown(cx)
     }
 }
 
 /// A connection; its socket is closed when this is dropped.
 pub struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
+    /// Seen before hyper sees it: what waits on it.
     stream: Rc<TcpStream>,
     meter: Rc<Meter>,
     driver: tokio::task::AbortHandle,
@@ -311,7 +304,7 @@
         let stream = connecting.await.map_err(|_| ConnectError::TimedOut)??;
         stream.set_nodelay(true)?;
         let (stream, meter) = (Rc::new(stream), Rc::new(Meter::default()));
-        let io = TokioIo::new(Metered { stream: stream.clone(), meter: meter.clone() });
+        let io = TokioIo::new(Metered { socket: Socket(stream.clone()), meter: meter.clone() });
         // A header that can't be read (a load report, say) is no reason to lose a good answer.
         let mut builder = http1::Builder::new();
         builder.max_buf_size(64 * 1024).ignore_invalid_headers_in_responses(true);
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -1,7 +1,9 @@
 //! The server side: accepts clients, takes requests in, passes answers on.
 
 use super::Local;
+use super::budget::{Budget, Held};
 use super::framing::{Standing, Watch, Watched};
+use super::socket::Socket;
 use crate::core::CoreHandle;
 use crate::counters::Counters;
 use crate::exchange::Call;
@@ -23,8 +25,8 @@
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::time::Instant;
 use tower::{Service, ServiceBuilder, ServiceExt};
@@ -69,32 +71,11 @@
     /// Counters.
     pub counters: Rc<Counters>,
     /// Bytes of bodies that may be held at once.
-    pub budget: Cell<usize>,
+    pub budget: Rc<Budget>,
     /// Ids in hand.
     pub ids: RefCell<HashSet<String>>,
 }
 
-/// Bytes of the budget, given back when dropped.
-struct Held(Rc<Shared>, usize);
-
-impl Held {
-    /// Takes more, as bytes come: a length that is only claimed takes nothing from others.
-    fn grow(&mut self, bytes: usize) -> bool {
-        let left = self.0.budget.get().checked_sub(bytes);
-        if let Some(left) = left {
-            self.0.budget.set(left);
-            self.1 += bytes;
-        }
-        left.is_some()
-    }
-}
-
-impl Drop for Held {
-    fn drop(&mut self) {
-        self.0.budget.set(self.0.budget.get() + self.1);
-    }
-}
-
 /// An id in hand, free again when dropped.
 struct InHand(Rc<Shared>, String);
 
@@ -168,6 +149,11 @@
             // One token is four characters.
             intake.ask.prompt_tokens = body.len() as u64 / 4;
         }
+        // Its request may have waited behind an earlier one, or to be accepted.
+        if watch.has_left() {
+            shared.counters.clients_left.up();
+            return self.bad(StatusCode::BAD_REQUEST, "the client has left\n");
+        }
         // Model hosts tell requests apart by their ids: two at once under one would share what is held. An id is in
         // hand until the last attempt and release of its request are over, or another client could send a second
         // copy of a request whose stream still runs.
@@ -190,7 +176,7 @@
         if body.size_hint().lower() > MOST_BODY as u64 {
             return Err(too_long());
         }
-        let (mut whole, mut held) = (BytesMut::new(), Held(self.shared.clone(), 0));
+        let (mut whole, mut held) = (BytesMut::new(), Held::new(self.shared.budget.clone()));
         while let Some(frame) = body.frame().await {
             let Ok(frame) = frame else { return Err(self.bad(StatusCode::BAD_REQUEST, "body broken\n")) };
             let Ok(data) = frame.into_data() else { continue };
@@ -357,7 +343,7 @@
                 }
             };
             counters.connections_in.up();
-            let watch = Watch::new();
+            let watch = Watch::new(Rc::new(stream), self.edge.shared.budget.clone());
             let place = self.open.enter(watch.clone());
             // Room is made before there is none: clients that keep their connections for good must not leave a burst
             // to those that are refused.
@@ -393,7 +379,7 @@
                     });
                     answered
                 };
-                serve(stream, hyper::service::service_fn(answer), stage, &watch, &counters).await;
+                serve(hyper::service::service_fn(answer), stage, &watch, &counters).await;
             });
         }
     }
@@ -412,13 +398,8 @@
     }
 }
 
-async fn serve<S>(
-    stream: TcpStream,
-    service: S,
-    mut stage: watch::Receiver<Stage>,
-    watch: &Rc<Watch>,
-    counters: &Counters,
-) where
+async fn serve<S>(service: S, mut stage: watch::Receiver<Stage>, watch: &Rc<Watch>, counters: &Counters)
+where
     S: hyper::service::Service<
             Request<Incoming>,
             Response = Response<Answering>,
@@ -426,13 +407,13 @@
             Future = Local<Result<Response<Answering>, Infallible>>,
         > + Unpin,
 {
-    let _ = stream.set_nodelay(true);
+    let _ = watch.stream().set_nodelay(true);
     let accepted = Instant::now();
     let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(None)
         .max_buf_size(64 * 1024)
-        .serve_connection(TokioIo::new(Watched::new(stream, watch.clone())), service);
+        .serve_connection(TokioIo::new(Watched::new(watch.clone())), service);
     let mut stopping = false;
     let ended = loop {
         let due = due(watch, accepted);
@@ -445,6 +426,8 @@
                 Pin::new(&mut connection).graceful_shutdown();
             }
             () = watch.changed() => {}
+            () = watch.left(), if watch.standing() == Standing::InHand => return,
+
             () = async { tokio::time::sleep_until(due.unwrap_or(accepted)).await }, if due.is_some() => break None,
         }
     };
@@ -459,7 +442,8 @@
     if let Some(Err(error)) = &ended {
         log::debug!("client connection: {error}");
     }
-    let stream = connection.into_parts().io.into_inner().into_inner();
+    drop(connection);
+    let stream = watch.stream();
     if ended.is_none() && unread && !watch.is_blocked() {
         counters.slow_clients.up();
         let _ = stream.try_write(TOO_SLOW);
@@ -467,19 +451,19 @@
     if unread {
         watch.finish();
         tokio::select! {
-            () = linger(stream) => {}
+            () = linger(Socket(stream.clone())) => {}
             () = async { while !watch.is_unwanted() { watch.changed().await } } => {}
         }
     }
 }
 
 /// Lets a client take its last answer, though not all that it sends is read.
-async fn linger(mut stream: TcpStream) {
+async fn linger(mut socket: Socket) {
     let _ = tokio::time::timeout(LINGER, async {
-        let _ = stream.shutdown().await;
+        let _ = socket.end();
         let (mut scrap, mut left) = (vec![0; 8 * 1024], MOST_LINGER);
         while left > 0 {
-            match stream.read(&mut scrap).await {
+            match socket.read(&mut scrap).await {
                 Ok(n) if n > 0 => left = left.saturating_sub(n),
                 _ => return,
             }
--- a/tests/conductor.rs
+++ b/tests/conductor.rs
@@ -292,6 +292,29 @@
     assert!(deleted.iter().any(|l| l.starts_with("DELETE /internal/reservations/id-1")));
 }
 
+/// Guards against work for nobody: a close was seen only once the requests ahead of it had been read, and the later ones
+/// of such a client were sent on one after another.
+#[test]
+fn a_client_that_sent_more_and_left_is_gone_at_once_with_all_that_it_sent() {
+    let (tell, told) = news();
+    let (closed, closes) = news();
+    let (host, lines) = noting(move |_, conn| {
+        tell("read".into());
+        closed(conn.is_closed().to_string());
+        false
+    });
+    let conductor = Conductor::start(&operator_file(&[host.address], &[host.address], ""));
+    let mut client = conductor.connect();
+    let all = ["id-1", "id-2", "id-3"].map(|id| request(id, "send", "hello")).concat();
+    client.write_all(all.as_bytes()).unwrap();
+    told.recv().unwrap();
+    client.shutdown(Shutdown::Both).unwrap();
+    assert_eq!(closes.recv().unwrap(), "true");
+    let counters = conductor.stop();
+    assert_eq!(["taken", "sent", "clients_left"].map(|c| counters.get(c)), [1, 1, 1]);
+    assert_eq!(lines.try_iter().filter(|l| l.starts_with("POST")).count(), 1);
+}
+
 /// Guards against answers held back: what the module gives up is refused at once, with advice.
 #[test]
 fn what_is_given_up_is_refused_with_advice_long_before_its_deadline() {
