Test the descriptors kept for discovery and servers, and the start from the known list

Both hold already: the new terms had no test. Idle clients, half of them answered once, come again as fast as they are closed while discovery fails; no descriptor may run out, the watch comes back and a request is served (with clients allowed all descriptors: "accept: Too many open files (os error 24)"). And a conductor is ready and serves while discovery says nothing, in either mode (fails when the known list is not taken in).

--- a/tests/conductor.rs
+++ b/tests/conductor.rs
@@ -583,6 +583,88 @@
     assert!(conductor.stop().get("connections_evicted") >= 1);
 }
 
+/// Guards against clients that fill the descriptors while discovery is down, some before and some after an answer: the
+/// watch has to come back, and so have requests.
+#[test]
+fn idle_clients_leave_room_for_discovery_and_for_servers() {
+    const DESCRIPTORS: usize = 200;
+    let (reader, new) = (Peer::reader(), writer());
+    let (asked, asks) = news();
+    let up = Arc::new(std::sync::atomic::AtomicBool::new(false));
+    let (is_up, address) = (up.clone(), new.address);
+    let discovery = Peer::start(move |_, conn| {
+        if !is_up.load(Ordering::SeqCst) {
+            asked("in vain".into());
+            return false;
+        }
+        conn.begin_stream();
+        conn.chunk(&format!("{{\"seq\":2,\"hosts\":[{{\"host\":\"answer-9\",\"dial\":\"{address}\",\"health\":\"ready\",\"class\":\"answer\",\"site\":\"here\"}}]}}\n"));
+        conn.is_closed()
+    });
+    let more = format!(
+        "discovery = \"{}\"\nlimits = {{ sockets = {DESCRIPTORS}, memory_mb = 64 }}",
+        discovery.address
+    );
+    let file = operator_file(&[reader.address], &[], &more);
+    let conductor = Conductor::start_within(DESCRIPTORS, &file);
+    // They come again as soon as they are closed: a descriptor that falls free is taken at once.
+    let (address, ended) = (conductor.address, Arc::new(std::sync::atomic::AtomicBool::new(false)));
+    let over = ended.clone();
+    let resting = std::thread::spawn(move || {
+        let connect = |i: usize| {
+            let mut client = std::net::TcpStream::connect(address).unwrap();
+            if i.is_multiple_of(2) {
+                let _ = client.write_all(b"GET /healthz HTTP/1.1\r\nhost: a\r\n\r\n");
+            }
+            client.set_nonblocking(true).unwrap();
+            client
+        };
+        let mut clients: Vec<_> = (0..2 * DESCRIPTORS).map(connect).collect();
+        while !over.load(Ordering::SeqCst) {
+            for (i, client) in clients.iter_mut().enumerate() {
+                let still_open = match client.read(&mut [0; 512]) {
+                    Ok(read) => read > 0,
+                    Err(error) => error.kind() == std::io::ErrorKind::WouldBlock,
+                };
+                if !still_open {
+                    *client = connect(i);
+                }
+            }
+            std::thread::yield_now();
+        }
+    });
+    // Once they are all there, discovery is asked in vain some more.
+    for _ in 0..asks.try_iter().count() + 3 {
+        asks.recv().unwrap();
+    }
+    up.store(true, Ordering::SeqCst);
+    let lines = conductor.lines_to("answer-9 (answer, here, cell 0) is Ready");
+    assert!(!lines.iter().any(|l| l.contains("Too many open files")), "{lines:?}");
+    let mut tries = 0;
+    while conductor.ask(&format!("id-{tries}"), "send").status() != 200 {
+        tries += 1;
+    }
+    ended.store(true, Ordering::SeqCst);
+    resting.join().unwrap();
+}
+
+/// Guards against a start that waits for discovery: the list that a conductor held before is good enough to serve.
+#[rstest]
+fn a_conductor_is_ready_from_its_known_list_while_discovery_says_nothing(
+    #[values("pushed", "on_request")] mode: &str,
+) {
+    let discovery = Peer::start(|_, conn| {
+        conn.is_closed();
+        false
+    });
+    let (reader, writer) = (Peer::reader(), writer());
+    let more = format!("discovery = \"{}\"", discovery.address);
+    let file = operator_file(&[reader.address], &[writer.address], &more);
+    let conductor = Conductor::start(&file.replace("\"pushed\"", &format!("\"{mode}\"")));
+    assert_eq!(conductor.raw(b"GET /healthz HTTP/1.1\r\nhost: a\r\n\r\n").status(), 200);
+    assert_eq!(conductor.ask("id-1", "send").status(), 200);
+}
+
 /// Guards against connections held for good: what doesn't come whole in time is told so, however it dawdles.
 #[rstest]
 #[case::nothing("", 0)]
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -212,12 +212,18 @@
 
 impl Conductor {
     pub fn start(operator_file: &str) -> Conductor {
+        Conductor::start_within(1024, operator_file)
+    }
+
+    /// Starts it where the system grants no more than so many descriptors.
+    pub fn start_within(descriptors: usize, operator_file: &str) -> Conductor {
         static NUMBER: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
         let number = NUMBER.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
         let file = std::env::temp_dir().join(format!("whinhaven-{}-{number}.toml", std::process::id()));
         std::fs::write(&file, operator_file).unwrap();
-        let mut child = Command::new(env!("CARGO_BIN_EXE_whinhaven"))
-            .args(["serve", file.to_str().unwrap()])
+        let mut child = Command::new("sh")
+            .args(["-c", "ulimit -n $0; exec \"$@\"", &descriptors.to_string()])
+            .args([env!("CARGO_BIN_EXE_whinhaven"), "serve", file.to_str().unwrap()])
             .stderr(Stdio::piped())
             .spawn()
             .unwrap();
@@ -233,13 +239,17 @@
 
     /// Waits for a line of the log.
     pub fn wait_for(&self, text: &str) -> String {
-        loop {
-            let line =
-                self.log.recv_timeout(STUCK).unwrap_or_else(|_| panic!("no line with {text:?} in the log"));
-            if line.contains(text) {
-                return line;
-            }
+        self.lines_to(text).pop().unwrap_or_default()
+    }
+
+    /// The lines of the log up to the next one with this text.
+    pub fn lines_to(&self, text: &str) -> Vec<String> {
+        let mut lines: Vec<String> = Vec::new();
+        while !lines.last().is_some_and(|line| line.contains(text)) {
+            let line = self.log.recv_timeout(STUCK);
+            lines.push(line.unwrap_or_else(|_| panic!("no line with {text:?} in the log")));
         }
+        lines
     }
 
     /// Replaces its configuration and tells it so.
