Wait for a read where another whole one would be late too

Prompts have 8,000 tokens and are read at 7,300 a second. Reads were given up after 2.0 s in the median, two thirds of the aim, the next one needs 1.2 s and more:

At fault: the floor of a read's time-out in `send` (src/policy.rs), a part of the aim whatever another read takes. Where nobody tells of queues, and another whole read would come too late, a read now has the time that leaves room for another one before the client goes.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -561,8 +561,16 @@
         // Kept text may be gone: a read may have to do the whole prompt.
         let whole = (IMBALANCE * takes(work + prompt - unread.unwrap_or(prompt))) as Micros;
         let due = self.set.connect_timeout.saturating_add(whole.max((OVERDUE * expected as f64) as Micros));
-        let part = if writes || !self.set.load_unknown() { STAGE_PART } else { 1.0 - STAGE_PART };
-        let due = due.max((self.aim(r) as f64 * part) as Micros);
+        let unseen = !writes && self.set.load_unknown();
+        let aim = self.aim(r) as f64;
+        let floor = aim * if unseen { 1.0 - STAGE_PART } else { STAGE_PART };
+        // What another whole read takes, as measured or as the aim grants for its length, and a first token.
+        let anew = (pace.or(0.0) * (prompt + self.learned.unread.or(0.0))).max(aim - class.aim as f64)
+            + self.learned.first_pace.or(0.0) * (prompt + self.learned.prompt.or(0.0));
+        let late = (self.now - r.arrived) as f64 + floor + anew > aim;
+        // A reader goes on with what is given up: where another read would be late too, this one has all the
+        // time that leaves another one room. Guards against jams by prompts that are long to read.
+        let due = due.max(if unseen && late { left as f64 - anew } else { floor } as Micros);
         // Reads just given up show a jam, and readers go on with them: the next one is waited for longer.
         let due = if writes { due } else { due.saturating_mul(1 << self.patience[0]) };
         // Where the time left doesn't hold two tries of this length, one whole try is the better chance.
@@ -976,14 +984,10 @@
             let budget = 2.0 * per_window * f64::from(self.set.routers.max(1));
             // What is saved up and spent in one window comes to the whole budget and its slack for chance.
             let saved = per_window * (1.0 + CHANCE / budget.sqrt());
-            self.workers.entry(id).and_modify(|w| {
-                w.turn += rate * time as f64;
-                if saved >= 1.0 {
-                    w.turn = w.turn.min(1.0);
-                } else if w.turn >= 1.0 + saved {
-                    w.turn = w.turn.fract();
-                }
-            });
+            let turn = w.turn + rate * time as f64;
+            let most = if saved < 1.0 { f64::MAX } else { 1.0 };
+            let turn = if saved < 1.0 && turn >= 1.0 + saved { turn.fract() } else { turn.min(most) };
+            self.workers.entry(id).and_modify(|w| w.turn = turn);
         }
     }
 
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -696,6 +696,28 @@
     }
 }
 
+/// Found on the engines deployment: prompts so long to read that whoever gives a read up comes too late anyway, while
+/// the reader goes on with it.
+#[test]
+fn a_read_is_waited_for_where_another_one_would_be_late_too() {
+    let timeout = |aim_per_1000_tokens, reports| {
+        let classes = vec![Class { aim_per_1000_tokens, ..class("safe", Effect::Safe) }];
+        let mut rig = Rig::fleet(Settings { classes, reports, ..settings() });
+        let deadline = rig.now + 8 * SECOND;
+        let sent = rig.ask_with(Ask { prompt_tokens: 8_000, deadline, ..ask(rig.now, "safe") });
+        sent.iter().find_map(|a| match a {
+            Action::Send { timeout, .. } => *timeout,
+            _ => None,
+        })
+    };
+    // 8,000 tokens grant 1.2 s more: after two thirds of the aim, another whole read comes too late for it.
+    assert_eq!(timeout(150 * MS, Reports::None), Some(8 * SECOND - 1_200 * MS));
+    // Of an aim of 1.08 s another read takes 80 ms.
+    assert_eq!(timeout(10 * MS, Reports::None), Some(720 * MS));
+    // Where readers tell of their queues, a long wait tells of a reader that hangs.
+    assert_eq!(timeout(150 * MS, Reports::Answers), Some(2_200 * MS / 3));
+}
+
 /// Found in ticket5632: where every read takes longer than its time-out, readers read for nobody. The time-out's floor
 /// has to give way, too, and come back with the reads.
 #[test]
