Give a text several homes in a large fleet, and keep a session at one

A home has one reader of a hundred, and reads keep a quarter of them busy.

At fault: `home` in src/policy.rs gives a text one reader however large the fleet; no router sees enough to know which texts are asked for most. Now it has one more for every 60 readers, by the session's hash, so that a session's turns meet at one at all routers. Fleets of up to 59 readers keep one.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -31,6 +31,8 @@
 const MAX_DOUBLINGS: u32 = 4;
 /// Roots of a cold budget that a window may go over it by chance (2, by the rule), over half of the budget.
 const CHANCE: f64 = 4.0;
+/// A text has one home more for so many readers: the one most asked for may draw a tenth of all requests.
+const READERS_PER_HOME: u64 = 60;
 /// Sweeps in each release limit: fine enough that nothing held comes near it.
 const SWEEPS: Micros = 12;
 
@@ -410,9 +412,12 @@
     }
 
     /// The reader to which a text belongs: rendezvous hashing by size, the same at every router of
-    /// a zone. A zone's own readers serve it as far as their part of all readers goes.
+    /// a zone. A zone's own readers serve it as far as their part of all readers goes. In a large fleet a
+    /// text has several, and a session stays at one: guards against texts that outgrow a home.
     fn home(&self, ask: &Ask, usable: &[WorkerId]) -> Option<WorkerId> {
-        let key = hash_key(ask, self.seed);
+        let homes = 1 + self.most[Role::Reader as usize] as u64 / READERS_PER_HOME;
+        let session = ask.session.as_ref().map_or(0, |s| xxh3_64_with_seed(s.as_bytes(), 0));
+        let key = hash_key(ask, self.seed) ^ (session % homes);
         let zones: BTreeSet<&str> = self.workers.values().map(|w| w.zone.as_str()).collect();
         let size = |w: &WorkerId| self.workers[w].weight;
         let here = |w: &&WorkerId| self.workers[*w].zone == self.set.zone;
@@ -703,14 +708,6 @@
             return;
         }
         a.outcome = Some(outcome);
-        match outcome {
-            Outcome::Read => self.patience[0] = self.patience[0].saturating_sub(1),
-            Outcome::NoAnswer if a.first.is_none() => {
-                let p = &mut self.patience[usize::from(a.writes)];
-                *p = (*p + 1).min(MAX_DOUBLINGS);
-            }
-            _ => {}
-        }
         // What reached nobody does not take the state: its limit runs on.
         if !matches!(outcome, Outcome::NoConnection | Outcome::NotSent) {
             r.quiet_since = now;
@@ -738,6 +735,7 @@
         }
         match outcome {
             Outcome::Read => {
+                self.patience[0] = self.patience[0].saturating_sub(1);
                 self.learned.unread.add(unread, LEARN);
                 self.good(&worker);
                 self.learn(&worker, None, elapsed, work - tokens + unread);
@@ -750,6 +748,8 @@
                 self.workers.entry(worker.clone()).and_modify(|w| _ = w.full.insert(kind, until));
             }
             Outcome::NoAnswer => {
+                let patience = &mut self.patience[usize::from(writes)];
+                *patience = (*patience + u32::from(first.is_none())).min(MAX_DOUBLINGS);
                 // It would have taken at least this long: else time-outs under load breed time-outs.
                 self.learn(&worker, writes.then_some(far), elapsed, work);
                 self.bad(&worker, sent);
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -195,6 +195,31 @@
     assert_eq!(homes[0], homes[1]);
 }
 
+/// Found on the engines deployment: one text of hundreds drew a tenth of all requests to one of a hundred readers.
+#[test]
+fn in_a_large_fleet_a_text_has_several_homes_and_a_session_stays_at_one() {
+    let homes_of = |readers: usize| {
+        // Each turn comes to another router, which has seen nothing of the text.
+        let home = |turn: u64| {
+            let set = settings();
+            let mut rig = Rig { policy: Policy::new(set.clone(), turn), ..Rig::new(set) };
+            let named = (0..readers).map(|i| format!("r{i}")).chain(["w1".to_owned()]);
+            let list = named.map(|name| entry(&name, 0, Status::Ready, None)).collect();
+            rig.list(ListKind::Saved, list);
+            let (session, prefix) = (Some(format!("s{}", turn / 2).as_str().into()), Some("p".into()));
+            let sent = rig.ask_with(Ask { session, prefix, prefix_tokens: 1_800, ..ask(rig.now, "safe") });
+            sent.iter().find_map(|a| match a {
+                Action::Send { worker, .. } => Some(worker.clone()),
+                _ => None,
+            })
+        };
+        let homes: Vec<WorkerId> = (0..40).map(|turn| home(turn).unwrap()).collect();
+        assert!(homes.chunks(2).all(|turns| turns[0] == turns[1]), "{homes:?}");
+        homes.iter().collect::<std::collections::BTreeSet<_>>().len()
+    };
+    assert_eq!([20, 100, 200].map(homes_of), [1, 2, 4]);
+}
+
 #[test]
 fn a_session_is_read_where_it_was_read_before() {
     let mut rig = Rig::fleet(settings());
