Ask a silent agent again without a pause

11.368 discovery: nothing heard for 1s; the list stands 11.467 other conductors hear that s- is Draining 11.983 attempt 0 to s- 12.138 discovery: s- is Draining

Where lists are pushed, what the agent gets at its return counts as told at once. Calls that wait are answered then; n246 stood in a pause of 0.77 s after a call that it had given up.

Ruled out: a call that is answered late (all that waited were answered within 0.1 s), a send decided before the news.

At fault: `Pace::pause` in src/net/discovery.rs treated the agent on this machine like a shared discovery. After silence it is now asked again at once, so that a call is always waiting; after a refusal within 0.2 s, the drain's grace, with no doubling. Lists on request are asked for as before.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -34,7 +34,8 @@
 /// Where lists come on request a call may have to wait its turn, and discovery itself fails it after 2 s: who gives up
 /// before that asks again from the end of the line, and the call left behind is served for nobody.
 const ANSWER_IN_TURN: Duration = Duration::from_millis(2_250);
-/// The longest pause after a first failure, where asking costs nothing: the agent is on this machine.
+/// The longest pause where asking costs nothing: the agent is on this machine, and what it learns counts at once. After
+/// silence there is none, for a call that is waiting when it speaks again is answered first.
 const PAUSE: Duration = Duration::from_millis(200);
 /// Where lists come on request, each conductor's part of it: all of them together make 25 calls a second on average.
 /// There, discovery is one service for all. They start, lose their watches and fail together, and calls that come
@@ -264,12 +265,12 @@
 /// When to call discovery, again or at first.
 #[derive(Clone, Copy, Debug)]
 pub struct Pace {
-    /// The longest pause after a first failure.
+    /// The longest pause after a first failure, where calls wait their turn.
     longest: Duration,
     /// When a call is given up.
     answer: Duration,
-    /// Whether the first call waits, too.
-    from_start: bool,
+    /// Whether lists come on request: calls wait their turn, and the first one is spread, too.
+    each_in_turn: bool,
     /// Differs between conductors and between their starts.
     seed: u64,
 }
@@ -277,19 +278,25 @@
 impl Pace {
     /// The pace that suits a deployment.
     pub fn new(settings: &Settings, seed: u64) -> Self {
-        let from_start = settings.list_on_request;
-        let longest = if from_start { PAUSE.max(PAUSE_EACH * settings.routers) } else { PAUSE };
-        let answer = if from_start { ANSWER_IN_TURN } else { ANSWER };
-        Pace { longest, answer, from_start, seed }
+        let each_in_turn = settings.list_on_request;
+        let longest = PAUSE.max(PAUSE_EACH * settings.routers);
+        let answer = if each_in_turn { ANSWER_IN_TURN } else { ANSWER };
+        Pace { longest, answer, each_in_turn, seed }
     }
 
     /// How long to wait after so many failures in a row: by chance, up to a bound that doubles, so that conductors
     /// that fail together don't ask together. Discovery may have been back for as long as it was `silent` to the last
     /// call or watch: that, the pause and the next call fit in what a change may take.
     pub fn pause(&self, failures: u32, silent: Duration) -> Duration {
-        let most = TOLD_WITHIN.saturating_sub(silent).saturating_sub(ANSWER_IN_TURN);
-        let longest = self.longest * (1 << failures.saturating_sub(1).min(MAX_DOUBLINGS));
-        longest.min(most).mul_f64(unit(xxh3_64_with_seed(&failures.to_le_bytes(), self.seed)))
+        let longest = match (self.each_in_turn, silent) {
+            (false, Duration::ZERO) => PAUSE,
+            (false, _) => Duration::ZERO,
+            (true, _) => {
+                let most = TOLD_WITHIN.saturating_sub(silent).saturating_sub(ANSWER_IN_TURN);
+                most.min(self.longest * (1 << failures.saturating_sub(1).min(MAX_DOUBLINGS)))
+            }
+        };
+        longest.mul_f64(unit(xxh3_64_with_seed(&failures.to_le_bytes(), self.seed)))
     }
 }
 
@@ -315,7 +322,7 @@
         // The list held is the configuration's or this agent's. Versions of another one say nothing of it, so that
         // one is asked for its whole list before its changes.
         let mut whole = false;
-        if self.pace.from_start {
+        if self.pace.each_in_turn {
             tokio::time::sleep(self.pace.pause(0, Duration::ZERO)).await;
         }
         loop {
--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -183,6 +183,23 @@
     }
 }
 
+/// Guards against a pause in the moment in which a silent agent speaks again: what it has then counts as told at once,
+/// and drains are kept within a quarter of a second.
+#[tokio::test(start_paused = true)]
+async fn what_the_agent_learns_at_its_return_is_known_at_once() {
+    let (silent, back) = (Duration::from_secs(2), Duration::from_secs(8));
+    for seed in 0..100 {
+        // Calls that wait are answered at its return.
+        let meets = move |at: Duration| match at < silent {
+            true => AT_ONCE,
+            false => Meets::Answered(back.saturating_sub(at)),
+        };
+        let agent = Agent { silent: Some(silent), ..Agent::new(back, meets) };
+        let after = told_within(agent, false, seed).await;
+        assert!(after <= Duration::from_millis(250), "{after:?}, seed {seed}");
+    }
+}
+
 /// Guards against a call given up before its turn at a discovery that is one service for all.
 #[tokio::test(start_paused = true)]
 async fn a_call_that_has_to_wait_its_turn_is_waited_for() {
