Give each client connection one state machine, which answers what has arrived and resets nothing

At fault: serve() in src/net/server.rs left the end to hyper's graceful_shutdown and to a drop of the socket. Asked while idle or half way through a head, hyper closes at once, so a request that was half read, or that had arrived behind a stream, was ended without an answer; a socket dropped over bytes that nobody had read was reset. Now src/net/connection.rs alone decides: an idle connection is closed only when no byte waits for it, a request that has begun is answered first, and after the sending side is shut down what arrives is read and dropped. Tests in tests/shutdown.rs, each checked to fail: with hyper's graceful_shutdown back the ones on half-read heads, pipelined requests and bytes that the runtime has not told of; without the discarding the one on crossing requests.

--- a/src/main.rs
+++ b/src/main.rs
@@ -21,6 +21,8 @@
 
 /// After SIGTERM new connections keep coming for up to 0.4 s; they are accepted for longer than that.
 const ACCEPT_ON: Duration = Duration::from_millis(700);
+/// Between two looks whether all that was taken has ended.
+const END_PAUSE: Duration = Duration::from_millis(5);
 /// How often idle connections are looked at.
 const RETIRE: Duration = Duration::from_millis(500);
 /// Descriptors for everything that is neither a client nor a model host.
@@ -201,8 +203,13 @@
     let (stage, stages) = watch::channel(Stage::Open);
     let open = Rc::new(Connections::default());
     let bound = to_clients - OVER;
-    let accepting =
-        Listener { edge: Edge { shared, tools }, bound, waiting: bound, stage: stages, open: open.clone() };
+    let accepting = Listener {
+        edge: Edge { shared: shared.clone(), tools },
+        bound,
+        waiting: bound,
+        stage: stages,
+        open: open.clone(),
+    };
     let accepting = tokio::task::spawn_local(accepting.accept(listener));
     log::info!(
         "{} serves on {}, {} sockets for clients and {} for model hosts",
@@ -231,14 +238,12 @@
     stopping.set(true);
     let ending = async {
         tokio::time::sleep(ACCEPT_ON).await;
-        accepting.abort();
         let _ = stage.send(Stage::Closing);
-        pool.clear();
+        let _ = accepting.await;
+        log::info!("stopping: idle connections are closed, {} are open", open.count());
         while open.count() > 0 {
-            tokio::time::sleep(Duration::from_millis(5)).await;
+            tokio::time::sleep(END_PAUSE).await;
         }
-        // What was just answered may still have a release on its way.
-        tokio::time::sleep(Duration::from_millis(50)).await;
     };
     tokio::pin!(ending);
     // What was taken may run on for long: the list has to follow discovery meanwhile.
--- a/src/net/framing.rs
+++ b/src/net/framing.rs
@@ -6,9 +6,11 @@
 use super::budget::{Budget, Held};
 use super::socket::Socket;
 use bytes::BytesMut;
+use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::io::{self, IoSlice};
+use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -120,6 +122,17 @@
         self.left.get()
     }
 
+    /// Whether bytes have arrived that hyper has not been given.
+    pub fn has_unread(&self) -> bool {
+        let waiting = SockRef::from(&*self.stream).peek(&mut [MaybeUninit::uninit()]);
+        !self.ahead.borrow().0.is_empty() || waiting.is_ok_and(|bytes| bytes > 0)
+    }
+
+    /// Whether a further request has begun to arrive behind the one in hand.
+    pub fn has_further_request(&self) -> bool {
+        self.scan.borrow().begun() || self.has_unread()
+    }
+
     /// Resolves when the client has closed the connection.
     pub async fn left(&self) {
         while !self.has_left() {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod budget;
 pub mod client;
+pub mod connection;
 pub mod discovery;
 pub mod events;
 pub mod framing;
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -2,8 +2,8 @@
 
 use super::Local;
 use super::budget::{Budget, Held};
-use super::framing::{Standing, Watch, Watched};
-use super::socket::Socket;
+use super::connection::serve;
+use super::framing::{Standing, Watch};
 use crate::core::CoreHandle;
 use crate::counters::Counters;
 use crate::exchange::Call;
@@ -13,52 +13,38 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
-use hyper::server::conn::http1;
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
 use std::any::Any;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet};
 use std::convert::Infallible;
-use std::future::poll_fn;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::io::AsyncReadExt;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::time::Instant;
+use tower::limit::ConcurrencyLimit;
+use tower::load_shed::LoadShed;
 use tower::{Service, ServiceBuilder, ServiceExt};
 
 /// No body is longer.
 pub const MOST_BODY: usize = 256 * 1024;
-/// A request has this long to come whole, from its first byte and, the first on a connection, from the accept on.
-/// Progress doesn't renew it: half a head, half a body and a drip without end all hold a place.
-const ARRIVE: Duration = Duration::from_millis(2_400);
-/// A client that has said nothing since it connected is let go after this.
-const SILENT_CLIENT: Duration = Duration::from_millis(2_200);
-/// One that was answered before may come again: a session's next turn, and this conductor knows where its text is
-/// kept. It is let go after this, or as soon as its place is wanted.
-const IDLE_CLIENT: Duration = Duration::from_secs(30);
-/// A client that takes nothing of its answer for this long is gone.
-const CLIENT_STALLED: Duration = Duration::from_secs(30);
 /// Where places are short, a connection may have to go that has been idle for this long: a client that has just
 /// connected gets to send its request.
 const SETTLED: Duration = Duration::from_millis(50);
 /// The same for a request that is still not whole.
 const DAWDLES: Duration = Duration::from_millis(400);
-/// After an answer to a request that was not read whole, the client has this long to take the answer: a socket
-/// closed over unread bytes is reset, and what the client has not read is lost with it.
-const LINGER: Duration = Duration::from_secs(1);
-/// Bytes that are read and forgotten meanwhile.
-const MOST_LINGER: usize = 2 * MOST_BODY;
 /// Connections over the bound that are still told so; beyond them, new ones wait in the system's queue.
 pub const OVER: usize = 16;
 /// Advice to clients that came when there was no room.
 const COME_BACK: Micros = 500_000;
-/// For a request that did not come in time.
-const TOO_SLOW: &[u8] = b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+/// Between two looks for room while there is none.
+const FULL_PAUSE: Duration = Duration::from_millis(5);
+/// After an accept that failed.
+const ACCEPT_FAILED_PAUSE: Duration = Duration::from_millis(50);
 
 /// What all connections of the edge share.
 pub struct Shared {
@@ -276,7 +262,7 @@
 }
 
 /// An answer's body that tells its connection when it is over.
-struct Answering {
+pub struct Answering {
     body: AnswerBody,
     watch: Rc<Watch>,
 }
@@ -322,154 +308,110 @@
 }
 
 impl Listener {
-    /// Accepts for as long as it is polled.
+    /// Accepts until the closing stage.
     pub async fn accept(self, listener: TcpListener) {
-        let counters = self.edge.shared.counters.clone();
         // Over its bound the service refuses: tower's shed turns a full limit into an error, answered below.
         let service =
             ServiceBuilder::new().load_shed().concurrency_limit(self.waiting).service(self.edge.clone());
+        let mut stage = self.stage.clone();
+        tokio::select! {
+            biased;
+            _ = stage.wait_for(|s| *s == Stage::Closing) => {}
+            () = self.accept_next(&listener, &service) => {}
+        }
+    }
+
+    /// Accepts one after another.
+    async fn accept_next(&self, listener: &TcpListener, service: &BoundedEdge) {
         loop {
             while self.open.count() >= self.bound + OVER {
-                self.open.make_room(&counters);
-                tokio::time::sleep(Duration::from_millis(5)).await;
+                self.open.make_room(self.counters());
+                tokio::time::sleep(FULL_PAUSE).await;
             }
-            let stream = match listener.accept().await {
-                Ok((stream, _)) => stream,
+            match listener.accept().await {
+                Ok((stream, _)) => self.admit(stream, service),
                 Err(error) => {
                     // Out of descriptors, say: what is open goes on, new ones wait.
                     log::warn!("accept: {error}");
-                    tokio::time::sleep(Duration::from_millis(50)).await;
-                    continue;
+                    tokio::time::sleep(ACCEPT_FAILED_PAUSE).await;
                 }
-            };
-            counters.connections_in.up();
-            let watch = Watch::new(Rc::new(stream), self.edge.shared.budget.clone());
-            let place = self.open.enter(watch.clone());
-            // Room is made before there is none: clients that keep their connections for good must not leave a burst
-            // to those that are refused.
-            let crowded = self.open.count() > self.bound * 3 / 4;
-            let over = crowded && !self.open.make_room(&counters) && self.open.count() > self.bound;
-            if over {
-                counters.connections_over_bound.up();
             }
-            let (service, stage, counters) = (service.clone(), self.stage.clone(), counters.clone());
-            tokio::task::spawn_local(async move {
-                let _place = place;
-                let (seen, count) = (watch.clone(), counters.clone());
-                let answer = move |request: Request<Incoming>| {
-                    let (service, watch, counters) = (service.clone(), seen.clone(), count.clone());
-                    let answered: Local<Result<_, Infallible>> = Box::pin(async move {
-                        let arrival = Arrival { request, watch: watch.clone() };
-                        let mut response = if over {
-                            platform::refusal(Some(COME_BACK))
-                        } else {
-                            match service.oneshot(arrival).await {
-                                Ok(response) => response,
-                                Err(_) => {
-                                    counters.over_bound.up();
-                                    platform::refusal(Some(COME_BACK))
-                                }
-                            }
-                        };
-                        if over || watch.is_spent() {
-                            let close = hyper::header::HeaderValue::from_static("close");
-                            response.headers_mut().insert("connection", close);
-                        }
-                        Ok(response.map(|body| Answering { body, watch }))
-                    });
-                    answered
-                };
-                serve(hyper::service::service_fn(answer), stage, &watch, &counters).await;
-            });
         }
     }
-}
 
-/// When a connection is to be closed as it stands.
-fn due(watch: &Watch, accepted: Instant) -> Option<Instant> {
-    match watch.standing() {
-        Standing::InHand => None,
-        Standing::Idle(since) if watch.is_blocked() => Some(since + CLIENT_STALLED),
-        _ if watch.is_unwanted() => Some(accepted),
-        Standing::Idle(since) if watch.has_answered() => Some(since + IDLE_CLIENT),
-        Standing::Idle(since) => Some(since + SILENT_CLIENT),
-        Standing::Arriving(_) if !watch.has_answered() => Some(accepted + ARRIVE),
-        Standing::Arriving(since) => Some(since + ARRIVE),
+    fn counters(&self) -> &Rc<Counters> {
+        &self.edge.shared.counters
     }
-}
 
-async fn serve<S>(service: S, mut stage: watch::Receiver<Stage>, watch: &Rc<Watch>, counters: &Counters)
-where
-    S: hyper::service::Service<
-            Request<Incoming>,
-            Response = Response<Answering>,
-            Error = Infallible,
-            Future = Local<Result<Response<Answering>, Infallible>>,
-        > + Unpin,
-{
-    let _ = watch.stream().set_nodelay(true);
-    let accepted = Instant::now();
-    let mut connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(None)
-        .max_buf_size(64 * 1024)
-        .serve_connection(TokioIo::new(Watched::new(watch.clone())), service);
-    let mut stopping = false;
-    let ended = loop {
-        let due = due(watch, accepted);
-        tokio::select! {
-            biased;
-            // First: what has come by now is looked at before any deadline is.
-            ended = poll_fn(|cx| connection.poll_without_shutdown(cx)) => break Some(ended),
-            _ = stage.wait_for(|s| *s == Stage::Closing), if !stopping => {
-                stopping = true;
-                Pin::new(&mut connection).graceful_shutdown();
-            }
-            () = watch.changed() => {}
-            () = watch.left(), if watch.standing() == Standing::InHand => return,
-
-            () = async { tokio::time::sleep_until(due.unwrap_or(accepted)).await }, if due.is_some() => break None,
-        }
-    };
-    let unread = match &ended {
-        // hyper has answered what was no HTTP with a 4xx of its own.
-        Some(Err(error)) if error.is_parse() || error.is_parse_too_large() => {
-            counters.bad_requests.up();
-            true
-        }
-        _ => watch.is_spent() || matches!(watch.standing(), Standing::Arriving(_)),
-    };
-    if let Some(Err(error)) = &ended {
-        log::debug!("client connection: {error}");
-    }
-    drop(connection);
-    let stream = watch.stream();
-    if ended.is_none() && unread && !watch.is_blocked() {
-        counters.slow_clients.up();
-        let _ = stream.try_write(TOO_SLOW);
-    }
-    if unread {
-        watch.finish();
-        tokio::select! {
-            () = linger(Socket(stream.clone())) => {}
-            () = async { while !watch.is_unwanted() { watch.changed().await } } => {}
+    /// Takes a connection in, and serves it beside the others.
+    fn admit(&self, stream: TcpStream, service: &BoundedEdge) {
+        let counters = self.counters().clone();
+        counters.connections_in.up();
+        let watch = Watch::new(Rc::new(stream), self.edge.shared.budget.clone());
+        let place = self.open.enter(watch.clone());
+        // Room is made before there is none: clients that keep their connections for good must not leave a burst
+        // to those that are refused.
+        let crowded = self.open.count() > self.bound * 3 / 4;
+        let over = crowded && !self.open.make_room(&counters) && self.open.count() > self.bound;
+        if over {
+            counters.connections_over_bound.up();
         }
+        let answering = Answerer {
+            service: service.clone(),
+            watch: watch.clone(),
+            counters: counters.clone(),
+            over,
+            stage: self.stage.clone(),
+        };
+        let (stage, accepted) = (self.stage.clone(), Instant::now());
+        tokio::task::spawn_local(async move {
+            let _place = place;
+            let answer = move |request| -> Local<Result<Response<Answering>, Infallible>> {
+                Box::pin(answering.clone().answer(request))
+            };
+            serve(hyper::service::service_fn(answer), stage, &watch, &counters, accepted).await;
+        });
     }
 }
 
-/// Lets a client take its last answer, though not all that it sends is read.
-async fn linger(mut socket: Socket) {
-    let _ = tokio::time::timeout(LINGER, async {
-        let _ = socket.end();
-        let (mut scrap, mut left) = (vec![0; 8 * 1024], MOST_LINGER);
-        while left > 0 {
-            match socket.read(&mut scrap).await {
-                Ok(n) if n > 0 => left = left.saturating_sub(n),
-                _ => return,
+/// The edge behind the bound on requests that wait.
+type BoundedEdge = LoadShed<ConcurrencyLimit<Edge>>;
+
+/// Answers the requests of one connection.
+#[derive(Clone)]
+struct Answerer {
+    service: BoundedEdge,
+    watch: Rc<Watch>,
+    counters: Rc<Counters>,
+    /// Whether the connection came when there was no room.
+    over: bool,
+    stage: watch::Receiver<Stage>,
+}
+
+impl Answerer {
+    async fn answer(self, request: Request<Incoming>) -> Result<Response<Answering>, Infallible> {
+        let watch = self.watch.clone();
+        let arrival = Arrival { request, watch: watch.clone() };
+        let mut response = if self.over {
+            platform::refusal(Some(COME_BACK))
+        } else {
+            match self.service.clone().oneshot(arrival).await {
+                Ok(response) => response,
+                Err(_) => {
+                    self.counters.over_bound.up();
+                    platform::refusal(Some(COME_BACK))
+                }
             }
+        };
+        if self.is_last() {
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
-        // Past that its sending is left to stand.
-        std::future::pending().await
-    })
-    .await;
+        Ok(response.map(|body| Answering { body, watch }))
+    }
+
+    /// Whether the connection ends with this answer. A graceful shutdown still answers what has arrived behind it.
+    fn is_last(&self) -> bool {
+        let closing = *self.stage.borrow() == Stage::Closing;
+        self.over || self.watch.is_spent() || closing && !self.watch.has_further_request()
+    }
 }
--- /dev/null
+++ b/tests/shutdown.rs
@@ -0,0 +1,217 @@
+//! The graceful shutdown: what was taken is answered, what crosses a close is neither reset nor sent on.
+
+mod support;
+
+use rstest::rstest;
+use std::cell::RefCell;
+use std::collections::HashSet;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::rc::Rc;
+use std::sync::{Mutex, mpsc};
+use support::*;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use whinhaven::core::{Clock, CoreHandle};
+use whinhaven::net::budget::Budget;
+use whinhaven::net::server::{Connections, Edge, Listener, Shared, Stage};
+
+const HEALTH: &[u8] = b"GET /healthz HTTP/1.1\r\nhost: a\r\n\r\n";
+
+/// A writer that streams one answer, and waits between its events until it is told to go on.
+fn writer_that_waits(begun: mpsc::Sender<()>) -> (Peer, mpsc::Sender<()>) {
+    let (go, gate) = mpsc::channel::<()>();
+    let (begun, gate) = (Mutex::new(begun), Mutex::new(gate));
+    let writer = Peer::start(move |_, conn| {
+        conn.begin_stream();
+        conn.delta("one");
+        begun.lock().unwrap().send(()).unwrap();
+        let _ = gate.lock().unwrap().recv();
+        conn.end_stream();
+        true
+    });
+    (writer, go)
+}
+
+/// Guards against a request lost because it was half read when the shutdown came.
+#[rstest]
+#[case::in_its_head(20)]
+#[case::in_its_body(3)]
+fn a_request_half_read_at_the_shutdown_is_answered(#[case] from_the_end: usize) {
+    let (reader, (begun, _begins)) = (Peer::reader(), mpsc::channel());
+    let (writer, go) = writer_that_waits(begun);
+    go.send(()).unwrap();
+    let conductor = Conductor::start(&operator_file(&[reader.address], &[writer.address], ""));
+    let text = request("id-1", "send", "hello");
+    let (first, rest) = text.split_at(text.len() - from_the_end);
+    let mut client = BufReader::new(conductor.connect());
+    // One answer before: the connection is one that rests between requests.
+    client.get_mut().write_all(HEALTH).unwrap();
+    assert_eq!(Message::read(&mut client).unwrap().status(), 200);
+    conductor.signal("-TERM");
+    conductor.wait_for("stopping: accepting");
+    client.get_mut().write_all(first.as_bytes()).unwrap();
+    conductor.wait_for("stopping: idle connections are closed");
+    client.get_mut().write_all(rest.as_bytes()).unwrap();
+    let answer = Message::read(&mut client).unwrap();
+    assert_eq!((answer.status(), answer.whole, answer.header("connection")), (200, true, Some("close")));
+    assert_eq!(client.read(&mut [0]).unwrap(), 0);
+    conductor.wait_for("stopped");
+}
+
+/// Guards against the reset of a connection whose client writes a request in the moment of the close, and against
+/// sending on what nobody can answer any more.
+#[test]
+fn a_request_that_crosses_the_close_of_a_resting_connection_is_not_reset_and_not_sent_on() {
+    let (seen, messages) = mpsc::channel();
+    let seen = Mutex::new(seen);
+    let reader = Peer::start(move |message, conn| {
+        seen.lock().unwrap().send(message.line.clone()).unwrap();
+        conn.answer("202 Accepted", "", "{}");
+        true
+    });
+    let conductor = Conductor::start(&operator_file(&[reader.address], &[reader.address], ""));
+    let mut client = conductor.connect();
+    client.write_all(HEALTH).unwrap();
+    assert_eq!(Message::read(&mut BufReader::new(client.try_clone().unwrap())).unwrap().status(), 200);
+    conductor.signal("-TERM");
+    assert_eq!(client.read(&mut [0]).unwrap(), 0);
+    for _ in 0..3 {
+        client.write_all(request("id-1", "send", "hello").as_bytes()).unwrap();
+        assert!(client.take_error().unwrap().is_none());
+    }
+    assert_eq!(client.read(&mut [0]).unwrap(), 0);
+    drop(client);
+    assert_eq!(Counters(conductor.wait_for("stopped")).get("taken"), 0);
+    drop(conductor);
+    assert_eq!(messages.try_iter().count(), 0);
+}
+
+/// Guards against a later request lost with the close: one that had arrived behind the streaming one is answered.
+#[test]
+fn a_request_pipelined_behind_a_streaming_one_is_answered_after_it() {
+    let (reader, (begun, begins)) = (Peer::reader(), mpsc::channel());
+    let (writer, go) = writer_that_waits(begun);
+    let conductor = Conductor::start(&operator_file(&[reader.address], &[writer.address], ""));
+    let mut client = BufReader::new(conductor.connect());
+    client.get_mut().write_all(request("id-1", "send", "hello").as_bytes()).unwrap();
+    begins.recv().unwrap();
+    client.fill_buf().unwrap();
+    client.get_mut().write_all(request("id-2", "send", "hello").as_bytes()).unwrap();
+    conductor.signal("-TERM");
+    conductor.wait_for("stopping: idle connections are closed");
+    for _ in 0..2 {
+        go.send(()).unwrap();
+    }
+    let answers = [Message::read(&mut client).unwrap(), Message::read(&mut client).unwrap()];
+    assert!(answers.iter().all(|answer| answer.status() == 200 && answer.whole));
+    assert_eq!(answers[1].header("connection"), Some("close"));
+    assert_eq!(Counters(conductor.wait_for("stopped")).get("ended_served"), 2);
+}
+
+/// Guards against a second signal that ends the process over what is in hand.
+#[test]
+fn a_second_sigterm_does_not_cut_a_stream_off() {
+    let (reader, (begun, begins)) = (Peer::reader(), mpsc::channel());
+    let (writer, go) = writer_that_waits(begun);
+    let conductor = Conductor::start(&operator_file(&[reader.address], &[writer.address], ""));
+    let mut client = BufReader::new(conductor.connect());
+    client.get_mut().write_all(request("id-1", "send", "hello").as_bytes()).unwrap();
+    begins.recv().unwrap();
+    for _ in 0..2 {
+        conductor.signal("-TERM");
+    }
+    conductor.wait_for("stopping: idle connections are closed");
+    conductor.signal("-TERM");
+    conductor.signal("-INT");
+    go.send(()).unwrap();
+    assert!(Message::read(&mut client).unwrap().whole);
+    assert_eq!(Counters(conductor.wait_for("stopped")).get("ended_served"), 1);
+}
+
+/// Guards against the last part of a finished stream lost with the end of the process: its client reads slowly.
+#[test]
+fn the_last_bytes_of_a_finished_stream_reach_a_slow_client() {
+    const EVENTS: usize = 200;
+    let event = "x".repeat(32 * 1024);
+    let (reader, text) = (Peer::reader(), event.clone());
+    let writer = Peer::start(move |_, conn| {
+        conn.begin_stream();
+        (0..EVENTS).for_each(|_| conn.event(&text));
+        conn.end_stream();
+        true
+    });
+    let conductor = Conductor::start(&operator_file(&[reader.address], &[writer.address], ""));
+    let mut client = BufReader::new(conductor.connect());
+    client.get_mut().write_all(request("id-1", "send", "hello").as_bytes()).unwrap();
+    client.fill_buf().unwrap();
+    conductor.signal("-TERM");
+    conductor.wait_for("stopping: idle connections are closed");
+    let answer = Message::read(&mut client).unwrap();
+    assert!(answer.whole && answer.body.len() > EVENTS * event.len());
+    conductor.wait_for("stopped");
+}
+
+/// The server side alone, on a socket of its own.
+struct Server {
+    listener: TcpListener,
+    accepting: Listener,
+    stage: watch::Sender<Stage>,
+}
+
+impl Server {
+    async fn start() -> Server {
+        let (core, _queue) = CoreHandle::channel(Clock::start());
+        let shared = Shared {
+            core,
+            classes: Vec::new(),
+            ready: Box::new(|| true),
+            counters: Rc::default(),
+            budget: Budget::new(1 << 20),
+            ids: RefCell::new(HashSet::new()),
+        };
+        let (stage, stages) = watch::channel(Stage::Open);
+        let accepting = Listener {
+            edge: Edge { shared: Rc::new(shared), tools: None },
+            bound: 64,
+            waiting: 64,
+            stage: stages,
+            open: Rc::new(Connections::default()),
+        };
+        Server { listener: TcpListener::bind("127.0.0.1:0").await.unwrap(), accepting, stage }
+    }
+
+    async fn connect(&self) -> TcpStream {
+        TcpStream::connect(self.listener.local_addr().unwrap()).await.unwrap()
+    }
+}
+
+/// All that a server writes until it closes.
+async fn whole_answer(client: &mut TcpStream) -> String {
+    let mut text = Vec::new();
+    client.read_to_end(&mut text).await.unwrap();
+    String::from_utf8(text).unwrap()
+}
+
+/// Guards against a close over a request that has arrived, though the runtime has not told of it yet.
+#[tokio::test]
+async fn a_request_that_has_arrived_when_a_resting_connection_is_closed_is_answered() {
+    let story = async {
+        let Server { listener, accepting, stage } = Server::start().await;
+        let mut client = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+        tokio::task::spawn_local(accepting.accept(listener));
+        client.write_all(HEALTH).await.unwrap();
+        let mut first = [0; 256];
+        assert!(client.read(&mut first).await.unwrap() > 0);
+        // In one step: the server learns of the stage before it can learn of the bytes.
+        let mut blocking = client.into_std().unwrap();
+        blocking.set_nonblocking(false).unwrap();
+        stage.send(Stage::Closing).unwrap();
+        blocking.write_all(HEALTH).unwrap();
+        blocking.set_nonblocking(true).unwrap();
+        let mut client = TcpStream::from_std(blocking).unwrap();
+        let answer = whole_answer(&mut client).await;
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    };
+    tokio::task::LocalSet::new().run_until(story).await;
+}
