Take in what waits to be accepted before the listener closes

Found by reading: main aborted the accept loop, and the system resets the connections in the queue of a listener that is closed. The queue is now emptied first, asking the socket itself, for the runtime may not have looked at it yet. The new test fails without that (connection reset).

--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -19,6 +19,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet};
 use std::convert::Infallible;
+use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -308,7 +309,8 @@
 }
 
 impl Listener {
-    /// Accepts until the closing stage.
+    /// Accepts until the closing stage, and then what still waits in the system's queue: a listener closed over
+    /// connections resets them.
     pub async fn accept(self, listener: TcpListener) {
         // Over its bound the service refuses: tower's shed turns a full limit into an error, answered below.
         let service =
@@ -319,6 +321,7 @@
             _ = stage.wait_for(|s| *s == Stage::Closing) => {}
             () = self.accept_next(&listener, &service) => {}
         }
+        self.drain_backlog(listener, &service);
     }
 
     /// Accepts one after another.
@@ -339,6 +342,26 @@
         }
     }
 
+    /// Takes in what waits in the system's queue, and no more.
+    fn drain_backlog(&self, listener: TcpListener, service: &BoundedEdge) {
+        // Asked directly: the runtime may not have looked at the listener since the last connection came.
+        let Ok(listener) = listener.into_std() else { return };
+        loop {
+            let accepted = listener.accept().and_then(|(stream, _)| {
+                stream.set_nonblocking(true)?;
+                TcpStream::from_std(stream)
+            });
+            match accepted {
+                Ok(stream) => self.admit(stream, service),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+                Err(error) => {
+                    log::warn!("accept: {error}");
+                    return;
+                }
+            }
+        }
+    }
+
     fn counters(&self) -> &Rc<Counters> {
         &self.edge.shared.counters
     }
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -193,6 +193,28 @@
     String::from_utf8(text).unwrap()
 }
 
+/// Guards against connections reset in the system's queue as the listener closes.
+#[tokio::test]
+async fn connections_that_wait_to_be_accepted_at_the_closing_stage_are_answered() {
+    let story = async {
+        let server = Server::start().await;
+        let mut clients = Vec::new();
+        for _ in 0..5 {
+            let mut client = server.connect().await;
+            client.write_all(HEALTH).await.unwrap();
+            clients.push(client);
+        }
+        // They wait in the queue: nothing has been accepted yet.
+        server.stage.send(Stage::Closing).unwrap();
+        server.accepting.accept(server.listener).await;
+        for client in &mut clients {
+            let answer = whole_answer(client).await;
+            assert!(answer.starts_with("HTTP/1.1 200") && answer.contains("connection: close"), "{answer}");
+        }
+    };
+    tokio::task::LocalSet::new().run_until(story).await;
+}
+
 /// Guards against a close over a request that has arrived, though the runtime has not told of it yet.
 #[tokio::test]
 async fn a_request_that_has_arrived_when_a_resting_connection_is_closed_is_answered() {
