End the process only when every attempt and release of it has ended

Found by reading: main waited for connections and 50 ms more. Where attempts may not be dropped, the read of a client that has left is still out then, and the state that it leaves was never released; a release that no worker takes at once needs up to 0.4 s. The new test fails without the wait: the process ends with no DELETE sent.

--- a/src/main.rs
+++ b/src/main.rs
@@ -241,7 +241,8 @@
         let _ = stage.send(Stage::Closing);
         let _ = accepting.await;
         log::info!("stopping: idle connections are closed, {} are open", open.count());
-        while open.count() > 0 {
+        // An id is in hand for as long as an attempt or a release of its request is: what is held is let go first.
+        while open.count() > 0 || !shared.ids.borrow().is_empty() {
             tokio::time::sleep(END_PAUSE).await;
         }
     };
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -152,6 +152,39 @@
     conductor.wait_for("stopped");
 }
 
+/// Guards against an end of the process over a state that is still held: its read is out for a client that has left,
+/// where attempts may not be dropped.
+#[test]
+fn what_a_read_leaves_is_released_before_the_process_ends() {
+    let (read, reads) = mpsc::channel();
+    let (go, gate) = mpsc::channel::<()>();
+    let (released, releases) = mpsc::channel();
+    let script = Mutex::new((read, gate, released));
+    let host = Peer::start(move |message, conn| {
+        if message.line.starts_with("DELETE") {
+            script.lock().unwrap().2.send(message.line.clone()).unwrap();
+            conn.answer("204 No Content", "", "");
+            return true;
+        }
+        let script = script.lock().unwrap();
+        script.0.send(()).unwrap();
+        let _ = script.1.recv();
+        conn.answer("202 Accepted", "", "{}");
+        true
+    });
+    let file = operator_file(&[host.address], &[host.address], "");
+    let conductor = Conductor::start(&file.replace("may_cancel = true", "may_cancel = false"));
+    let mut client = conductor.connect();
+    client.write_all(request("id-1", "send", "hello").as_bytes()).unwrap();
+    reads.recv().unwrap();
+    drop(client);
+    conductor.signal("-TERM");
+    conductor.wait_for("stopping: idle connections are closed, 0 are open");
+    go.send(()).unwrap();
+    conductor.wait_for("stopped");
+    assert!(releases.try_iter().any(|line| line.starts_with("DELETE /internal/reservations/id-1")));
+}
+
 /// The server side alone, on a socket of its own.
 struct Server {
     listener: TcpListener,
