Take no list that is older or empty, and keep a drain through a move of discovery

At fault: Follower::take and Directory::apply in src/net/discovery.rs took whatever came. A whole list fetched beside the watch could undo changes that the watch had told since; a whole list without entries took everybody out of service; after a move the list of an agent that lags brought back what the agent before had said drains or is gone. Now versions never run backwards within one agent, an empty whole list is not taken, and an older list of another agent leaves out of service what was withdrawn in the same life.

--- a/src/main.rs
+++ b/src/main.rs
@@ -178,6 +178,7 @@
         fetch_list,
         dial: dial_tcp(),
         pace: Pace::new(&settings, config.seed),
+        agent_version: Cell::default(),
         counters: counters.clone(),
     };
     follower.take(std::mem::take(&mut config.known), ListKind::Saved);
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -12,7 +12,7 @@
 use hyper_util::rt::TokioIo;
 use serde::Deserialize;
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -29,6 +29,9 @@
 const TOLD_WITHIN: Duration = Duration::from_secs(6);
 /// A watch on which no line, not even an empty one, ends for this long is dead: those come every 2 s.
 const SILENCE: Duration = Duration::from_secs(3);
+/// An object that has begun on a watch has to come whole within this, however its lines drip: a change cut off in its
+/// middle is asked for again in time.
+const WHOLE_WITHIN: Duration = Duration::from_millis(3_500);
 /// A call to the agent on this machine, which answers at once, is given up after this, connecting included.
 const ANSWER: Duration = Duration::from_secs(1);
 /// Where lists come on request a call may have to wait its turn, and discovery itself fails it after 2 s: who gives up
@@ -43,6 +46,8 @@
 const PAUSE_EACH: Duration = Duration::from_millis(40);
 /// Failures in a row that double the pause.
 const MAX_DOUBLINGS: u32 = 2;
+/// Workers remembered as withdrawn: more than drain between two looks at an agent that lags.
+const MOST_WITHDRAWN: usize = 512;
 /// The longest object that is read: thousands of hosts.
 const MOST_LINE: usize = 4 * 1024 * 1024;
 
@@ -127,12 +132,36 @@
 pub struct Directory {
     hosts: RefCell<HashMap<WorkerId, Host>>,
     seq: Cell<u64>,
+    withdrawn: RefCell<Withdrawn>,
+}
+
+/// Workers last heard to drain or to be gone, with the start of the life in which that was so.
+#[derive(Default)]
+struct Withdrawn(VecDeque<(WorkerId, Option<u64>)>);
+
+impl Withdrawn {
+    fn note(&mut self, worker: &WorkerId, started: Option<u64>) {
+        self.forget(worker);
+        self.0.push_back((worker.clone(), started));
+        if self.0.len() > MOST_WITHDRAWN {
+            self.0.pop_front();
+        }
+    }
+
+    fn forget(&mut self, worker: &WorkerId) {
+        self.0.retain(|(known, _)| known != worker);
+    }
+
+    fn contains(&self, worker: &WorkerId, started: Option<u64>) -> bool {
+        self.0.iter().any(|(known, life)| known == worker && *life == started)
+    }
 }
 
 impl Directory {
     /// Takes a listing in; gives back the hosts whose connections are of an earlier life, or that are gone.
     pub fn apply(&self, listing: &Listing) -> Vec<WorkerId> {
         let mut hosts = self.hosts.borrow_mut();
+        let mut withdrawn = self.withdrawn.borrow_mut();
         self.seq.set(listing.seq);
         if listing.whole {
             hosts.values_mut().for_each(|h| h.status = Status::Gone);
@@ -144,6 +173,10 @@
             if old.is_some_and(|h| h.started != entry.started || h.address != address) {
                 reborn.push(entry.worker.clone());
             }
+            match entry.status {
+                Status::Ready => withdrawn.forget(&entry.worker),
+                Status::Draining | Status::Gone => withdrawn.note(&entry.worker, entry.started),
+            }
             let host =
                 Host { address, status: entry.status, kind: entry.kind.clone(), started: entry.started };
             hosts.insert(entry.worker.clone(), host);
@@ -152,6 +185,7 @@
         // idle connections with it.
         hosts.retain(|worker, host| {
             if host.status == Status::Gone {
+                withdrawn.note(worker, host.started);
                 reborn.push(worker.clone());
             }
             host.status != Status::Gone
@@ -159,6 +193,20 @@
         reborn
     }
 
+    /// Corrects a listing of another agent that is older than what is held: what was heard to drain or to be gone
+    /// gets nothing new for an agent that has not heard of it yet.
+    pub fn keep_withdrawn(&self, listing: &mut Listing) {
+        if listing.seq >= self.seq.get() {
+            return;
+        }
+        let withdrawn = self.withdrawn.borrow();
+        for (entry, _) in &mut listing.entries {
+            if entry.status == Status::Ready && withdrawn.contains(&entry.worker, entry.started) {
+                entry.status = Status::Draining;
+            }
+        }
+    }
+
     /// A host's address.
     pub fn address(&self, worker: &WorkerId) -> Option<SocketAddr> {
         self.hosts.borrow().get(worker)?.address
@@ -248,6 +296,8 @@
     pub dial: Dial,
     /// When it calls.
     pub pace: Pace,
+    /// The newest version that the agent followed now has told.
+    pub agent_version: Cell<Option<u64>>,
     /// Counters.
     pub counters: Rc<Counters>,
 }
@@ -315,6 +365,24 @@
         self.core.tell(Input::List { kind, entries });
     }
 
+    /// Takes in what an agent tells, if it is of use: versions never run backwards within one agent, and an agent that
+    /// has just started may know nobody yet, which is no reason to think that all have gone.
+    fn take_news(&self, mut listing: Listing) {
+        let seq = listing.seq;
+        if self.agent_version.get().is_some_and(|newest| seq < newest) {
+            log::warn!("discovery: version {seq} is older than what this agent has told: not taken");
+            return;
+        }
+        if listing.whole && listing.entries.is_empty() {
+            log::warn!("discovery: version {seq} is a whole list without entries: not taken");
+            return;
+        }
+        self.agent_version.set(Some(seq));
+        self.directory.keep_withdrawn(&mut listing);
+        let kind = if listing.whole { ListKind::Full } else { ListKind::Changes };
+        self.take(listing, kind);
+    }
+
     /// Watches until the task ends; what breaks is begun again, from the version held. Where the address changes,
     /// the watch moves at once.
     pub async fn follow(self, mut address: watch::Receiver<Option<SocketAddr>>) {
@@ -339,6 +407,7 @@
                         return;
                     }
                     (whole, failures) = (true, 0);
+                    self.agent_version.set(None);
                     continue;
                 }
                 ended = self.watching(at, &mut whole, &mut failures) => ended,
@@ -354,7 +423,10 @@
             failures = failures.saturating_add(1);
             self.core.tell(Input::List { kind: ListKind::Failed, entries: Vec::new() });
             tokio::select! {
-                _ = address.changed() => (whole, failures) = (true, 0),
+                _ = address.changed() => {
+                    (whole, failures) = (true, 0);
+                    self.agent_version.set(None);
+                }
                 () = tokio::time::sleep(self.pace.pause(failures, silent)) => {}
             }
         }
@@ -373,7 +445,7 @@
             if listing.entries.is_empty() {
                 return Err("the whole list is empty".into());
             }
-            self.take(listing, ListKind::Full);
+            self.take_news(listing);
             *whole = false;
         }
         let target = format!("/v1/servers?watch=1&after={}", self.directory.seq.get());
@@ -389,7 +461,7 @@
                 loop {
                     self.fetch_list.notified().await;
                     match heard_within(self.pace.answer, self.fetch(&mut discovery)).await {
-                        Ok(Ok(listing)) => self.take(listing, ListKind::Full),
+                        Ok(Ok(listing)) => self.take_news(listing),
                         Ok(Err(error)) => break error,
                         Err(error) => break error.into(),
                     }
@@ -400,9 +472,11 @@
 
     async fn watch(&self, mut body: Incoming) -> Result<(), Box<dyn std::error::Error>> {
         let (mut text, mut heard) = (BytesMut::new(), Instant::now());
+        // Since when an object has not come whole: lines in its middle are no sign of life.
+        let mut begun: Option<Instant> = None;
         loop {
-            let left = SILENCE.saturating_sub(heard.elapsed());
-            let frame = tokio::time::timeout(left, body.frame()).await.map_err(|_| Silent(SILENCE))?;
+            let limit = begun.map_or(heard + SILENCE, |begun| (begun + WHOLE_WITHIN).min(heard + SILENCE));
+            let frame = tokio::time::timeout_at(limit, body.frame()).await.map_err(|_| Silent(SILENCE))?;
             let Some(frame) = frame else { return Ok(()) };
             let Ok(data) = frame?.into_data() else { continue };
             // Bytes that end no line are no sign of life.
@@ -410,7 +484,10 @@
                 heard = Instant::now();
             }
             text.extend_from_slice(&data);
-            self.take_whole(&mut text);
+            if self.take_whole(&mut text)? {
+                begun = None;
+            }
+            begun = (!text.is_empty()).then(|| begun.unwrap_or_else(Instant::now));
             if text.len() > MOST_LINE {
                 return Err("a line without end".into());
             }
@@ -418,28 +495,33 @@
     }
 
     /// Takes in what has come whole. An object may be written over several lines; what is none, and can't become one,
-    /// is skipped to the end of its line.
-    fn take_whole(&self, text: &mut BytesMut) {
+    /// is skipped to the end of its line. Whether any object was whole.
+    ///
+    /// # Errors
+    /// An object that can't be read: the change that it was has to be asked for again.
+    fn take_whole(&self, text: &mut BytesMut) -> Result<bool, serde_json::Error> {
+        let mut taken = false;
         loop {
             let begin = text.len() - text.trim_ascii_start().len();
             text.advance(begin);
             // Only behind a closing brace: a long object in many pieces is not read anew at each of them.
             if !text.trim_ascii_end().ends_with(b"}") && !text.contains(&b'\n') {
-                return;
+                return Ok(taken);
             }
             let mut objects = serde_json::Deserializer::from_slice(text).into_iter::<ListMessage>();
             match objects.next() {
                 Some(Ok(message)) => {
                     text.advance(objects.byte_offset());
-                    let kind = if message.whole { ListKind::Full } else { ListKind::Changes };
-                    self.take(message.into(), kind);
+                    taken = true;
+                    self.take_news(message.into());
                 }
+                Some(Err(error)) if !error.is_eof() && text.starts_with(b"{") => return Err(error),
                 Some(Err(error)) if !error.is_eof() => {
                     log::warn!("discovery: what can't be read: {error}");
                     let end = text.iter().position(|b| *b == b'\n').map_or(text.len(), |end| end + 1);
                     text.advance(end);
                 }
-                _ => return,
+                _ => return Ok(taken),
             }
         }
     }
--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -119,6 +119,7 @@
             fetch_list: Rc::default(),
             dial: agent.clone().dial(),
             pace: Pace::new(settings, seed),
+            agent_version: Cell::default(),
             counters: Rc::default(),
         };
         let (at, address) = watch::channel("127.0.0.1:1".parse().ok());
