Skip an object that can't be read, and ask again unless another follows

Now the object is skipped as before, and the watch begins anew only if no readable one follows within 3.5 s.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -29,8 +29,8 @@
 const TOLD_WITHIN: Duration = Duration::from_secs(6);
 /// A watch on which no line, not even an empty one, ends for this long is dead: those come every 2 s.
 const SILENCE: Duration = Duration::from_secs(3);
-/// An object that has begun on a watch has to come whole within this, however its lines drip: a change cut off in its
-/// middle is asked for again in time.
+/// An object that has begun on a watch has to come whole within this, however its lines drip, and behind one that can't
+/// be read another has to come: else the change that it was is asked for again.
 const WHOLE_WITHIN: Duration = Duration::from_millis(3_500);
 /// A call to the agent on this machine, which answers at once, is given up after this, connecting included.
 const ANSWER: Duration = Duration::from_secs(1);
@@ -282,6 +282,16 @@
     }
 }
 
+/// What was found in the bytes of a watch.
+enum Taken {
+    /// Nothing that is whole.
+    Nothing,
+    /// An object or more; the last one could be read.
+    Objects,
+    /// The last object could not be read.
+    Unreadable,
+}
+
 /// Follows discovery for as long as the conductor runs.
 pub struct Follower {
     /// What it keeps.
@@ -472,10 +482,10 @@
 
     async fn watch(&self, mut body: Incoming) -> Result<(), Box<dyn std::error::Error>> {
         let (mut text, mut heard) = (BytesMut::new(), Instant::now());
-        // Since when an object has not come whole: lines in its middle are no sign of life.
-        let mut begun: Option<Instant> = None;
+        // Since when an object has not come whole, or could not be read: lines alone are no sign of life then.
+        let mut owed: Option<Instant> = None;
         loop {
-            let limit = begun.map_or(heard + SILENCE, |begun| (begun + WHOLE_WITHIN).min(heard + SILENCE));
+            let limit = owed.map_or(heard + SILENCE, |owed| (owed + WHOLE_WITHIN).min(heard + SILENCE));
             let frame = tokio::time::timeout_at(limit, body.frame()).await.map_err(|_| Silent(SILENCE))?;
             let Some(frame) = frame else { return Ok(()) };
             let Ok(data) = frame?.into_data() else { continue };
@@ -484,10 +494,14 @@
                 heard = Instant::now();
             }
             text.extend_from_slice(&data);
-            if self.take_whole(&mut text)? {
-                begun = None;
+            match self.take_whole(&mut text) {
+                Taken::Objects => owed = None,
+                Taken::Unreadable => _ = owed.get_or_insert_with(Instant::now),
+                Taken::Nothing => {}
+            }
+            if !text.is_empty() {
+                owed.get_or_insert_with(Instant::now);
             }
-            begun = (!text.is_empty()).then(|| begun.unwrap_or_else(Instant::now));
             if text.len() > MOST_LINE {
                 return Err("a line without end".into());
             }
@@ -495,33 +509,32 @@
     }
 
     /// Takes in what has come whole. An object may be written over several lines; what is none, and can't become one,
-    /// is skipped to the end of its line. Whether any object was whole.
-    ///
-    /// # Errors
-    /// An object that can't be read: the change that it was has to be asked for again.
-    fn take_whole(&self, text: &mut BytesMut) -> Result<bool, serde_json::Error> {
-        let mut taken = false;
+    /// is skipped to the end of its line.
+    fn take_whole(&self, text: &mut BytesMut) -> Taken {
+        let mut taken = Taken::Nothing;
         loop {
             let begin = text.len() - text.trim_ascii_start().len();
             text.advance(begin);
             // Only behind a closing brace: a long object in many pieces is not read anew at each of them.
             if !text.trim_ascii_end().ends_with(b"}") && !text.contains(&b'\n') {
-                return Ok(taken);
+                return taken;
             }
             let mut objects = serde_json::Deserializer::from_slice(text).into_iter::<ListMessage>();
             match objects.next() {
                 Some(Ok(message)) => {
                     text.advance(objects.byte_offset());
-                    taken = true;
+                    taken = Taken::Objects;
                     self.take_news(message.into());
                 }
-                Some(Err(error)) if !error.is_eof() && text.starts_with(b"{") => return Err(error),
                 Some(Err(error)) if !error.is_eof() => {
                     log::warn!("discovery: what can't be read: {error}");
+                    if text.starts_with(b"{") {
+                        taken = Taken::Unreadable;
+                    }
                     let end = text.iter().position(|b| *b == b'\n').map_or(text.len(), |end| end + 1);
                     text.advance(end);
                 }
-                _ => return Ok(taken),
+                _ => return taken,
             }
         }
     }
