Let a connection rest for 25 ms before it is used again

Found by reading: a connection is looked at for waiting bytes as it is taken out of the pool, but a worker's second answer may come some milliseconds late, and once the next request is out nothing tells it from that one's answer. A rest of 25 ms is within the time of a handshake or two, and connections are kept for seconds.

--- a/src/front/ledger.rs
+++ b/src/front/ledger.rs
@@ -6,7 +6,7 @@
 use crate::config::ToolSettings;
 use crate::counters::Counters;
 use crate::interface::WorkerId;
-use crate::net::pool::{Pool, Target};
+use crate::net::pool::{Pool, PoolLimits, REST, Target};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::Request;
@@ -121,7 +121,8 @@
     /// An empty ledger.
     pub fn new(settings: ToolSettings, connect_timeout: Duration, counters: Rc<Counters>) -> Rc<Self> {
         let keep = Duration::from_secs(5);
-        let pool = Pool::new(settings.max_calls_at_once, connect_timeout, keep, counters.clone());
+        let limits = PoolLimits { sockets: settings.max_calls_at_once, connect_timeout, keep, rest: REST };
+        let pool = Pool::new(limits, counters.clone());
         let (entries, bytes, swept) = (RefCell::default(), Cell::new(0), Cell::new(None));
         Rc::new(Ledger { entries, bytes, swept, settings, pool, counters })
     }
--- a/src/main.rs
+++ b/src/main.rs
@@ -16,7 +16,7 @@
 use whinhaven::net::budget::Budget;
 use whinhaven::net::client::Hosts;
 use whinhaven::net::discovery::{Directory, Follower, Pace, dial_tcp};
-use whinhaven::net::pool::Pool;
+use whinhaven::net::pool::{Pool, PoolLimits, REST};
 use whinhaven::net::server::{Connections, Edge, Listener, OVER, Shared, Stage};
 
 /// After SIGTERM new connections keep coming for up to 0.4 s; they are accepted for longer than that.
@@ -156,7 +156,8 @@
         return Err(ConfigError(format!("limits.sockets: {} are too few", config.limits.sockets)));
     }
     let connect_timeout = Duration::from_micros(settings.connect_timeout.max(10_000));
-    let pool = Pool::new(to_hosts, connect_timeout, config.idle_close / 3, counters.clone());
+    let limits = PoolLimits { sockets: to_hosts, connect_timeout, keep: config.idle_close / 3, rest: REST };
+    let pool = Pool::new(limits, counters.clone());
     let directory = Rc::new(Directory::default());
     let fetch_list = Rc::new(Notify::new());
     let hosts = Hosts {
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -33,6 +33,9 @@
 
 /// A reset that comes this soon after a request is of the connection and not of what the host does with it.
 const AT_ONCE: Duration = Duration::from_millis(100);
+/// A connection rests for this long before it is used again: what a host still writes behind its answer comes by then,
+/// and would be taken for the answer to the next request.
+pub const REST: Duration = Duration::from_millis(25);
 /// How long no connection is kept after a kept one was found dead.
 const DISTRUST: Duration = Duration::from_secs(60);
 
@@ -200,23 +203,35 @@
     since: Instant,
 }
 
+/// The bounds of a pool.
+#[derive(Clone, Copy, Debug)]
+pub struct PoolLimits {
+    /// Most connections at once.
+    pub sockets: usize,
+    /// A connection that is not made by then has failed.
+    pub connect_timeout: Duration,
+    /// How long an idle connection is kept.
+    pub keep: Duration,
+    /// How long it is not used again after an answer.
+    pub rest: Duration,
+}
+
 /// The pool: a tower service from a target to a connection.
 #[derive(Clone)]
 pub struct Pool {
     idle: Rc<RefCell<HashMap<WorkerId, Vec<Idle>>>>,
     sockets: std::sync::Arc<Semaphore>,
-    connect_timeout: Duration,
-    keep: Duration,
+    limits: PoolLimits,
     /// Until when kept connections are not to be trusted.
     distrust: Rc<Cell<Option<Instant>>>,
     counters: Rc<Counters>,
 }
 
 impl Pool {
-    /// A pool of at most `sockets` connections, idle ones kept for `keep`.
-    pub fn new(sockets: usize, connect_timeout: Duration, keep: Duration, counters: Rc<Counters>) -> Self {
-        let sockets = std::sync::Arc::new(Semaphore::new(sockets));
-        Pool { idle: Rc::default(), sockets, connect_timeout, keep, distrust: Rc::default(), counters }
+    /// A pool within these bounds.
+    pub fn new(limits: PoolLimits, counters: Rc<Counters>) -> Self {
+        let sockets = std::sync::Arc::new(Semaphore::new(limits.sockets));
+        Pool { idle: Rc::default(), sockets, limits, distrust: Rc::default(), counters }
     }
 
     /// A connection has broken off before its answer. One that was kept and is reset as soon as a request is written
@@ -254,6 +269,11 @@
         }
     }
 
+    /// Connections that may still be opened.
+    pub fn free_sockets(&self) -> usize {
+        self.sockets.available_permits()
+    }
+
     /// Closes a model host's idle connections.
     pub fn hang_up(&self, worker: &WorkerId) {
         self.idle.borrow_mut().remove(worker);
@@ -262,7 +282,7 @@
     /// Closes connections that have idled for long or were closed from afar.
     pub fn retire(&self) {
         self.idle.borrow_mut().retain(|_, idle| {
-            idle.retain(|i| i.since.elapsed() < self.keep && !i.connection.sender.is_closed());
+            idle.retain(|i| i.since.elapsed() < self.limits.keep && !i.connection.sender.is_closed());
             !idle.is_empty()
         });
     }
@@ -275,9 +295,15 @@
     fn reuse(&self, target: &Target) -> Option<Connection> {
         let mut all = self.idle.borrow_mut();
         let idle = all.get_mut(&target.worker)?;
-        while let Some(last) = idle.pop() {
+        // The last of those that have rested; they stand in the order in which they came back.
+        let mut rested = idle.iter().take_while(|kept| kept.since.elapsed() >= self.limits.rest).count();
+        while rested > 0 {
+            rested -= 1;
+            let last = idle.remove(rested);
             // A model host closes what has idled too long, and a request written into that ends as a reset.
-            if last.address == target.address && last.since.elapsed() < self.keep && last.connection.usable()
+            if last.address == target.address
+                && last.since.elapsed() < self.limits.keep
+                && last.connection.usable()
             {
                 let mut connection = last.connection;
                 connection.reused = true;
@@ -300,7 +326,8 @@
             }
         };
         self.counters.connections_out.up();
-        let connecting = tokio::time::timeout(self.connect_timeout, TcpStream::connect(target.address));
+        let connecting =
+            tokio::time::timeout(self.limits.connect_timeout, TcpStream::connect(target.address));
         let stream = connecting.await.map_err(|_| ConnectError::TimedOut)??;
         stream.set_nodelay(true)?;
         let (stream, meter) = (Rc::new(stream), Rc::new(Meter::default()));
--- a/tests/conductor.rs
+++ b/tests/conductor.rs
@@ -201,6 +201,8 @@
     let conductor = Conductor::start(&operator_file(&[reader.address], &[writer.address], ""));
     for i in 0..10 {
         assert_eq!(conductor.ask(&format!("id-{i}"), "send").status(), 200, "request {i}");
+        // Kept connections are used again once they have rested.
+        std::thread::sleep(2 * whinhaven::net::pool::REST);
     }
     assert_eq!(conductor.stop().get("stale_connections"), 1);
 }
