Look at an attempt again at its first byte, and end the calls of a release with it

Found by reading. At fault: carry_out in src/net/client.rs looked at the drain alone once its connection had come up: an attempt began after its deadline (told as 0 us), after the end of its repeat window, or for a client whose close had come meanwhile. The module now says until when a repeat may begin (begin_before, from the first send that may have run), and all four are looked at after the last wait. And try_release: a release that was stopped ended its rounds but not the calls that were still connecting; one that came up after the next read was out took the state which that read left. Tests: tests/attempts.rs, tests/policy.rs; each fails with its part undone.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -57,6 +57,8 @@
     pub call: Rc<Call>,
     /// When to stop waiting for the first event.
     pub until: Micros,
+    /// It may only begin before this.
+    pub begin_before: Option<Micros>,
     /// A release to wait for: one that comes while this is out would take what it leaves.
     pub after: Option<Rc<Releasing>>,
     /// Resolves, or its other end is dropped, when the attempt is to be dropped.
@@ -77,11 +79,12 @@
     /// Ends it: going on would do harm.
     pub fn stop(&self) {
         self.stopped.set(true);
+        self.changed.notify_waiters();
     }
 
-    /// Whether it was ended.
-    pub fn is_stopped(&self) -> bool {
-        self.stopped.get()
+    /// Waits until it is ended.
+    pub async fn stopped(&self) {
+        self.until(&self.stopped).await;
     }
 
     /// Some model host has taken it.
@@ -92,9 +95,12 @@
 
     /// Waits until some model host has taken it.
     pub async fn done(&self) {
-        let changed = self.changed.notified();
-        if !self.done.get() {
-            changed.await;
+        self.until(&self.done).await;
+    }
+
+    async fn until(&self, flag: &Cell<bool>) {
+        while !flag.get() {
+            self.changed.notified().await;
         }
     }
 }
@@ -470,7 +476,9 @@
 
     fn act(&mut self, action: Action) {
         match action {
-            Action::Send { request, worker, timeout } => self.send(request, worker, timeout),
+            Action::Send { request, worker, timeout, begin_before } => {
+                self.send(request, worker, timeout, begin_before);
+            }
             Action::Refuse { request, retry_after } => {
                 if let Some(answer) = self.open.get_mut(&request).and_then(|o| o.answer.take()) {
                     self.counters.answered_refused.up();
@@ -517,7 +525,13 @@
         }
     }
 
-    fn send(&mut self, request: RequestId, worker: WorkerId, timeout: Option<Micros>) {
+    fn send(
+        &mut self,
+        request: RequestId,
+        worker: WorkerId,
+        timeout: Option<Micros>,
+        begin_before: Option<Micros>,
+    ) {
         let now = self.clock.now();
         let Some(open) = self.open.get_mut(&request).filter(|o| o.answer.is_some()) else { return };
         let until = timeout.map_or(open.deadline, |t| open.deadline.min(now.saturating_add(t)));
@@ -535,7 +549,17 @@
             until.saturating_sub(now)
         );
         let after = open.releasing.take();
-        self.outbound.send(Attempt { request, attempt, worker, call, until, after, cancelled, begun });
+        self.outbound.send(Attempt {
+            request,
+            attempt,
+            worker,
+            call,
+            until,
+            begin_before,
+            after,
+            cancelled,
+            begun,
+        });
     }
 
     fn release(&mut self, request: RequestId) {
@@ -588,6 +612,7 @@
                 target,
                 headers: Default::default(),
                 body: Bytes::new(),
+                client: Default::default(),
                 keeps: None,
             };
             drop(handle.ask(ask, call));
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -26,10 +26,34 @@
     pub headers: HeaderMap,
     /// Its body.
     pub body: Bytes,
+    /// Whether its client is still there.
+    pub client: ClientConnection,
     /// What lasts for as long as anything of the request does, after its answer too: its id, the room it takes.
     pub keeps: Option<Rc<dyn Any>>,
 }
 
+/// A look at a client's connection, for whoever is about to send something for it.
+#[derive(Clone, Default)]
+pub struct ClientConnection(Option<Rc<dyn Fn() -> bool>>);
+
+impl ClientConnection {
+    /// A connection of which `has_left` tells whether the client has closed it.
+    pub fn new(has_left: Rc<dyn Fn() -> bool>) -> Self {
+        ClientConnection(Some(has_left))
+    }
+
+    /// Whether the client has closed it by now.
+    pub fn has_left(&self) -> bool {
+        self.0.as_ref().is_some_and(|has_left| has_left())
+    }
+}
+
+impl std::fmt::Debug for ClientConnection {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("ClientConnection")
+    }
+}
+
 /// The final answer, or the beginning of one.
 #[derive(Debug)]
 pub enum Answer {
--- a/src/front/jsonrpc.rs
+++ b/src/front/jsonrpc.rs
@@ -9,7 +9,7 @@
 use super::ledger::{CallKey, Ledger, Outcome};
 use super::platform::{AnswerBody, refusal};
 use crate::config::ToolSettings;
-use crate::exchange::{Answer, Call, Feed, Frame, Presence};
+use crate::exchange::{Answer, Call, ClientConnection, Feed, Frame, Presence};
 use crate::interface::{Ask, RequestId};
 use crate::net::is_plain_id;
 use crate::net::server::{MOST_BODY, Shared};
@@ -533,7 +533,8 @@
         let target = super::platform::PATH.to_owned();
         let json = HeaderValue::from_static("application/json");
         let headers = HeaderMap::from_iter([(CONTENT_TYPE, json)]);
-        let call = Call { id, target, headers, body, keeps: None };
+        let client = ClientConnection::default();
+        let call = Call { id, target, headers, body, client, keeps: None };
         let waiting = self.shared.core.ask(ask, call).answer();
         let (answer, presence) = tokio::select! {
             answered = waiting => answered,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -381,6 +381,8 @@
         worker: WorkerId,
         /// The attempt's time-out; `None`: the client's deadline.
         timeout: Option<Micros>,
+        /// It may only begin before this: a repeat has to arrive inside its window. `None`: at any time.
+        begin_before: Option<Micros>,
     },
     /// Refuse: trying again is harmless.
     Refuse {
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -7,7 +7,7 @@
 use crate::core::{Attempt, Clock, CoreHandle, Input, Outbound, Releasing};
 use crate::counters::Counters;
 use crate::exchange::{Call, FeedSource, Frame, Reply, feed};
-use crate::interface::{AttemptIndex, Outcome, Report, Reports, RequestId, WorkerId};
+use crate::interface::{AttemptIndex, Micros, Outcome, Report, Reports, RequestId, WorkerId};
 use crate::wire::read_report;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -19,6 +19,7 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::sync::Notify;
+use tokio::task::JoinSet;
 use tokio::time::Instant;
 use tower::{Service, ServiceExt};
 
@@ -158,12 +159,12 @@
                 return Outcome::NoConnection.into();
             }
         };
-        // Decided a connection's time ago: since then the list may have told that the host drains.
-        if !self.directory.is_ready(&attempt.worker) {
+        let now = clock.now();
+        if let Err(outcome) = self.may_begin(attempt, now) {
             self.counters.held_back.up();
-            return Outcome::NotSent.into();
+            return outcome.into();
         }
-        let left = attempt.until.saturating_sub(clock.now());
+        let left = attempt.until.saturating_sub(now);
         let Some(request) = passed_on(&attempt.call, left) else { return Outcome::NotSent.into() };
         self.counters.sent.up();
         attempt.begun.set(true);
@@ -205,6 +206,25 @@
         }
     }
 
+    /// Whether an attempt may begin at this moment. It was decided a release and a connection ago; since then the list
+    /// may have told that the host drains, the client may have left, and time has passed.
+    ///
+    /// # Errors
+    /// The outcome of an attempt that may not.
+    pub fn may_begin(&self, attempt: &Attempt, now: Micros) -> Result<(), Outcome> {
+        if attempt.call.client.has_left() {
+            return Err(Outcome::Dropped);
+        }
+        if now >= attempt.until {
+            return Err(Outcome::NoConnection);
+        }
+        let too_late = attempt.begin_before.is_some_and(|end| now >= end);
+        if too_late || !self.directory.is_ready(&attempt.worker) {
+            return Err(Outcome::NotSent);
+        }
+        Ok(())
+    }
+
     /// Passes a stream on: its events as they come, unchanged, no deadline, until one side ends it.
     async fn stream(&self, attempt: &mut Attempt, stream: Stream) -> (End, bool) {
         let Stream { first, mut events, content_type, framed } = stream;
@@ -271,16 +291,24 @@
         });
     }
 
+    /// Releases until some model host has taken it, or it is ended: then no call that is still to be written goes out.
     async fn release_now(&self, call: &Call, releasing: &Releasing) {
+        tokio::select! {
+            biased;
+            () = releasing.stopped() => {}
+            () = self.try_release(call, releasing) => {}
+        }
+    }
+
+    async fn try_release(&self, call: &Call, releasing: &Releasing) {
         tokio::time::sleep(SETTLE).await;
         let path = format!("/internal/reservations/{}", call.id);
         let (told, mut heard) = tokio::sync::mpsc::channel::<()>(1);
         let begun = tokio::time::Instant::now();
         let mut hosts = Vec::new();
+        // Ends with this call what has not ended by then.
+        let mut tries = JoinSet::new();
         while begun.elapsed() < RELEASE_WITHIN {
-            if releasing.is_stopped() {
-                return;
-            }
             if hosts.is_empty() {
                 // All have been asked in vain, or none has yet: the list may have changed meanwhile.
                 hosts = self.directory.running();
@@ -293,7 +321,7 @@
             let request = Request::delete(&path).header("host", "model-host").body(Full::new(Bytes::new()));
             let Ok(request) = request else { return };
             let (mut caller, told) = (self.clone(), told.clone());
-            let trying = tokio::task::spawn_local(async move {
+            tries.spawn_local(async move {
                 let call = caller.call(SmallCall { worker, request, body: 0 });
                 match tokio::time::timeout(Duration::from_secs(2), call).await {
                     Ok(Ok(_)) => _ = told.send(()).await,
@@ -305,7 +333,7 @@
             // A second call does no harm; a state held too long does.
             tokio::select! {
                 Some(()) = heard.recv() => return releasing.set_done(),
-                _ = trying => {
+                Some(_) = tries.join_next() => {
                     if heard.try_recv().is_ok() {
                         return releasing.set_done();
                     }
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -6,7 +6,7 @@
 use super::framing::{Standing, Watch};
 use crate::core::CoreHandle;
 use crate::counters::Counters;
-use crate::exchange::Call;
+use crate::exchange::{Call, ClientConnection};
 use crate::front::jsonrpc;
 use crate::front::platform::{self, AnswerBody, plain};
 use crate::interface::Micros;
@@ -118,7 +118,7 @@
         }
     }
 
-    async fn platform(self, request: Request<Incoming>, watch: &Watch) -> Response<AnswerBody> {
+    async fn platform(self, request: Request<Incoming>, watch: &Rc<Watch>) -> Response<AnswerBody> {
         let shared = self.shared.clone();
         let (head, body) = request.into_parts();
         let mut intake = match platform::decode(&head.headers, shared.core.clock.now()) {
@@ -151,7 +151,11 @@
         let target = head.uri.path_and_query().map_or(platform::PATH, |p| p.as_str()).to_owned();
         let keeps: Option<Rc<dyn Any>> = Some(Rc::new((in_hand, held)));
         let headers = platform::end_to_end(head.headers);
-        let call = Call { id: intake.id, target, headers, body, keeps };
+        let client = ClientConnection::new(Rc::new({
+            let watch = watch.clone();
+            move || watch.has_left()
+        }));
+        let call = Call { id: intake.id, target, headers, body, client, keeps };
         let (answer, presence) = shared.core.ask(intake.ask, call).answer().await;
         platform::encode(answer, presence)
     }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -581,6 +581,7 @@
         // Where the time left doesn't hold two tries of this length, one whole try is the better chance.
         let due = if left / 2 > expected { due.min(left - expected) } else { left };
         let timeout = (!last).then_some(due);
+        let begin_before = self.repeat_before(r, w).filter(|_| r.may_have_run());
         if !writes {
             let credit = |tokens| Credit { tokens, at: self.now };
             if let Some(prefix) = r.ask.prefix.clone() {
@@ -603,26 +604,33 @@
         if !writes {
             self.tell(worker, tokens, out);
         }
-        out.push(Action::Send { request: id, worker: worker.clone(), timeout });
+        out.push(Action::Send { request: id, worker: worker.clone(), timeout, begin_before });
     }
 
-    /// Whether a request that may have run may go to this worker again.
+    /// Whether a request that may have run may go to this worker again, if connecting takes all its time.
     fn may_repeat_at(&self, r: &Request, w: &Worker) -> bool {
+        self.repeat_before(r, w).is_some_and(|end| self.now + self.set.connect_timeout < end)
+    }
+
+    /// Until when a request that may have run may arrive at this worker again; `None`: never.
+    fn repeat_before(&self, r: &Request, w: &Worker) -> Option<Micros> {
         let group = match self.set.classes[r.class].effect {
-            Effect::Safe => return true,
-            Effect::Unsafe => return false,
+            Effect::Safe => return Some(Micros::MAX),
+            Effect::Unsafe => return None,
             Effect::Keyed(group) => group,
         };
         let window = self.set.classes[r.class].repeat_window;
-        (r.attempts.iter()).filter(|a| a.writes && !a.outcome.is_some_and(Outcome::never_ran)).all(|a| {
-            let same = self.workers.get(&a.worker).is_some_and(|first| match group {
+        let ran = r.attempts.iter().filter(|a| a.writes && !a.outcome.is_some_and(Outcome::never_ran));
+        let ends = ran.map(|a| {
+            let first = self.workers.get(&a.worker)?;
+            let same = match group {
                 Group::All => true,
                 Group::Zone => first.zone == w.zone,
                 Group::Cell => first.cell == w.cell,
-            });
-            // The send must arrive inside the window too: a connection may take its whole time-out.
-            same && self.now + self.set.connect_timeout < a.sent + window
-        })
+            };
+            same.then_some(a.sent.saturating_add(window))
+        });
+        ends.min().unwrap_or(Some(Micros::MAX))
     }
 
     // ------------------------------------------------------------ the one place that ends requests
@@ -633,11 +641,8 @@
         if matches!(r.phase, Phase::Done | Phase::Streaming) {
             return;
         }
-        let harmless = match self.set.classes[r.class].effect {
-            Effect::Safe | Effect::Keyed(Group::All) => true,
-            _ => !r.may_have_run(),
-        };
-        if harmless {
+        let effect = self.set.classes[r.class].effect;
+        if matches!(effect, Effect::Safe | Effect::Keyed(Group::All)) || !r.may_have_run() {
             let retry_after = self.set.retry_advice.then(|| {
                 // Spread, so that those refused together don't come back together.
                 let spread = xxh3_64_with_seed(&id.0.to_le_bytes(), self.seed) % 1000;
@@ -726,10 +731,7 @@
         if !writes {
             self.tell(&worker, -tokens, out);
             // It may have read to its end as it was given up or broke: what it left is held like any state.
-            if matches!(
-                outcome,
-                Outcome::NoAnswer | Outcome::ConnectionLost | Outcome::Dropped | Outcome::Error
-            ) {
+            if !outcome.never_ran() {
                 out.push(Action::Release { request: id });
             }
         }
@@ -994,9 +996,7 @@
     // ------------------------------------------------------------ release
 
     fn release(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        if let Some(r) = self.requests.get_mut(&id)
-            && r.state.take().is_some()
-        {
+        if self.requests.get_mut(&id).and_then(|r| r.state.take()).is_some() {
             out.push(Action::Release { request: id });
         }
     }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -492,7 +492,7 @@
 fn write_action(out: &mut impl Write, router: u32, action: &Action) -> io::Result<()> {
     let or_dash = |v: Option<Micros>| v.map_or_else(|| "-".to_owned(), |v| v.to_string());
     match action {
-        Action::Send { request, worker, timeout } => {
+        Action::Send { request, worker, timeout, .. } => {
             writeln!(out, "DELIVER\t{router}\t{}\t{}\t{}", request.0, worker.0, or_dash(*timeout))
         }
         Action::Refuse { request, retry_after } => {
--- /dev/null
+++ b/tests/attempts.rs
@@ -0,0 +1,303 @@
+//! Attempts, releases and kept connections at one worker, where something happens between two steps.
+
+mod support;
+
+use rstest::rstest;
+use socket2::{Domain, SockRef, Socket, Type};
+use std::cell::Cell;
+use std::collections::HashSet;
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::sync::{Mutex, mpsc};
+use std::time::Duration;
+use support::{Conn, Message, Peer};
+use tokio::sync::{mpsc as inputs, oneshot};
+use whinhaven::core::{Attempt, Clock, CoreHandle, Input, Outbound, Releasing};
+use whinhaven::counters::Counters;
+use whinhaven::exchange::{Call, ClientConnection};
+use whinhaven::interface::*;
+use whinhaven::net::client::Hosts;
+use whinhaven::net::discovery::{Directory, Listing};
+use whinhaven::net::pool::{Pool, PoolLimits};
+
+const SECOND: Micros = 1_000_000;
+const WORKER: &str = "a";
+
+/// The client side with the workers it is told of.
+struct Client {
+    hosts: Hosts,
+    inputs: inputs::UnboundedReceiver<Input>,
+    cancel: Option<oneshot::Sender<()>>,
+}
+
+impl Client {
+    fn start(workers: &[(&str, SocketAddr)], sockets: usize) -> Client {
+        let (core, inputs) = CoreHandle::channel(Clock::start());
+        let directory = Rc::<Directory>::default();
+        let entry = |(worker, address): &(&str, SocketAddr)| {
+            let entry = Entry {
+                worker: WorkerId((*worker).into()),
+                zone: String::new(),
+                kind: "answer".into(),
+                cell: 0,
+                status: Status::Ready,
+                weight: 1.0,
+                started: None,
+            };
+            (entry, Some(*address))
+        };
+        directory.apply(&Listing { seq: 1, whole: true, entries: workers.iter().map(entry).collect() });
+        let counters = Rc::<Counters>::default();
+        let time = Duration::from_secs(10);
+        // Nothing rests for long enough while a test runs.
+        let limits = PoolLimits { sockets, connect_timeout: time, keep: 2 * time, rest: time };
+        let pool = Pool::new(limits, counters.clone());
+        let hosts =
+            Hosts { directory, pool, core, reports: Reports::None, counters, fetch_list: Rc::default() };
+        Client { hosts, inputs, cancel: None }
+    }
+
+    fn now(&self) -> Micros {
+        self.hosts.core.clock.now()
+    }
+
+    fn attempt(&mut self, worker: &str, id: &str) -> Attempt {
+        let (cancel, cancelled) = oneshot::channel();
+        self.cancel = Some(cancel);
+        Attempt {
+            request: RequestId(1),
+            attempt: AttemptIndex(0),
+            worker: WorkerId(worker.into()),
+            call: Rc::new(call(id)),
+            until: self.now() + 10 * SECOND,
+            begin_before: None,
+            after: None,
+            cancelled,
+            begun: Rc::default(),
+        }
+    }
+
+    async fn outcome(&mut self, attempt: Attempt) -> Outcome {
+        self.hosts.send(attempt);
+        loop {
+            if let Input::Ended { outcome, .. } = self.inputs.recv().await.unwrap() {
+                return outcome;
+            }
+        }
+    }
+}
+
+fn call(id: &str) -> Call {
+    Call {
+        id: id.into(),
+        target: "/".into(),
+        headers: Default::default(),
+        body: "hello".into(),
+        client: ClientConnection::default(),
+        keeps: None,
+    }
+}
+
+/// A worker that notes what it is sent and leaves the rest to `act`.
+fn noting(
+    act: impl Fn(&Message, &mut Conn) -> bool + Send + Sync + 'static,
+) -> (Peer, mpsc::Receiver<Message>) {
+    let (tell, told) = mpsc::channel();
+    let tell = Mutex::new(tell);
+    let peer = Peer::start(move |message, conn| {
+        tell.lock().unwrap().send(message.clone()).unwrap();
+        act(message, conn)
+    });
+    (peer, told)
+}
+
+fn read_done(_: &Message, conn: &mut Conn) -> bool {
+    conn.answer("202 Accepted", "", "{}");
+    true
+}
+
+/// A listener whose queue is full: connections to it do not come up.
+struct FullQueue {
+    address: SocketAddr,
+    _listener: TcpListener,
+    _filling: Vec<Socket>,
+}
+
+impl FullQueue {
+    fn start() -> FullQueue {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        SockRef::from(&listener).listen(0).unwrap();
+        let address = listener.local_addr().unwrap();
+        let fill = || {
+            let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+            socket.set_nonblocking(true).unwrap();
+            let _ = socket.connect(&address.into());
+            socket
+        };
+        FullQueue { address, _filling: (0..3).map(|_| fill()).collect(), _listener: listener }
+    }
+}
+
+async fn story(story: impl Future<Output = ()>) {
+    tokio::task::LocalSet::new().run_until(story).await;
+}
+
+/// What an attempt was decided upon may be over once its connection has come up.
+#[derive(Clone, Copy, Debug)]
+enum Meanwhile {
+    Nothing,
+    TheClientLeft,
+    ItsTimePassed,
+    TheRepeatWindowEnded,
+    TheWorkerDrains,
+}
+
+/// Guards against a send that was right when it was decided.
+#[rstest]
+#[case(Meanwhile::Nothing, Outcome::Read)]
+#[case(Meanwhile::TheClientLeft, Outcome::Dropped)]
+#[case(Meanwhile::TheRepeatWindowEnded, Outcome::NotSent)]
+#[case(Meanwhile::TheWorkerDrains, Outcome::NotSent)]
+#[tokio::test]
+async fn at_its_first_byte_an_attempt_is_looked_at_again(
+    #[case] meanwhile: Meanwhile,
+    #[case] wanted: Outcome,
+) {
+    story(async {
+        let (peer, told) = noting(read_done);
+        let mut client = Client::start(&[(WORKER, peer.address)], 4);
+        let mut attempt = client.attempt(WORKER, "id-1");
+        match meanwhile {
+            Meanwhile::TheClientLeft => {
+                let left = ClientConnection::new(Rc::new(|| true));
+                attempt.call = Rc::new(Call { client: left, ..call("id-1") });
+            }
+            Meanwhile::TheRepeatWindowEnded => attempt.begin_before = Some(client.now()),
+            Meanwhile::TheWorkerDrains => {
+                let text = format!(
+                    r#"{{"seq":2,"hosts":[{{"host":"a","dial":"{}","health":"draining"}}]}}"#,
+                    peer.address
+                );
+                let message: whinhaven::net::discovery::ListMessage = serde_json::from_str(&text).unwrap();
+                client.hosts.directory.apply(&message.into());
+            }
+            Meanwhile::Nothing | Meanwhile::ItsTimePassed => {}
+        }
+        assert_eq!(client.outcome(attempt).await, wanted);
+        let sent = told.try_iter().count();
+        assert_eq!(sent, usize::from(wanted == Outcome::Read));
+    })
+    .await;
+}
+
+/// The same at the one place that decides, for what can't be forced on a socket.
+#[rstest]
+#[case(Meanwhile::Nothing, Ok(()))]
+#[case(Meanwhile::ItsTimePassed, Err(Outcome::NoConnection))]
+#[case(Meanwhile::TheRepeatWindowEnded, Err(Outcome::NotSent))]
+#[tokio::test]
+async fn an_attempt_may_not_begin_too_late(
+    #[case] meanwhile: Meanwhile,
+    #[case] wanted: Result<(), Outcome>,
+) {
+    let mut client = Client::start(&[(WORKER, Peer::nobody())], 4);
+    let mut attempt = client.attempt(WORKER, "id-1");
+    let now = client.now();
+    match meanwhile {
+        Meanwhile::ItsTimePassed => attempt.until = now,
+        Meanwhile::TheRepeatWindowEnded => attempt.begin_before = Some(now),
+        _ => attempt.begin_before = Some(now + 1),
+    }
+    assert_eq!(client.hosts.may_begin(&attempt, now), wanted);
+}
+
+/// Guards against a deadline told as it was before a wait.
+#[tokio::test]
+async fn a_worker_is_told_what_is_left_after_the_wait_for_a_release() {
+    story(async {
+        let (peer, told) = noting(read_done);
+        let mut client = Client::start(&[(WORKER, peer.address)], 4);
+        let mut attempt = client.attempt(WORKER, "id-1");
+        let until = attempt.until;
+        let (releasing, decided) = (Rc::<Releasing>::default(), client.now());
+        attempt.after = Some(releasing.clone());
+        assert_eq!(client.outcome(attempt).await, Outcome::Read);
+        let message = told.recv().unwrap();
+        let left: Micros = message.header("x-deadline").unwrap().trim_end_matches('u').parse().unwrap();
+        // The release was never taken: all of the wait for it has passed.
+        assert!(left <= until - decided - 100_000, "{left} us of {}", until - decided);
+    })
+    .await;
+}
+
+/// Guards against a release that goes out after the next read: it would take the state that this one leaves.
+#[tokio::test]
+async fn a_release_that_was_ended_writes_nothing_any_more() {
+    story(async {
+        let full = FullQueue::start();
+        let client = Client::start(&[(WORKER, full.address)], 1);
+        let (releasing, released) = (Rc::<Releasing>::default(), Rc::new(call("id-1")));
+        client.hosts.release(released.clone(), releasing.clone());
+        // Its call holds the only socket while it connects.
+        while client.hosts.counters.connections_out.get() == 0 {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        releasing.stop();
+        // One thread, and nothing to wait for: by then all tasks that were to end have ended.
+        for _ in 0..100 {
+            tokio::task::yield_now().await;
+        }
+        assert_eq!(Rc::strong_count(&released), 1, "the release goes on");
+        assert_eq!(client.hosts.pool.free_sockets(), 1, "the call still connects");
+    })
+    .await;
+}
+
+/// Guards against an answer that is none: a second one that comes some milliseconds behind the first, once the next
+/// request is out on that connection, can't be told from that request's answer.
+#[tokio::test]
+async fn a_late_second_answer_is_not_taken_for_the_next_one_s() {
+    story(async {
+        let seen = Mutex::new(HashSet::new());
+        let (peer, told) = noting(move |_, conn| {
+            // A connection that was used before brings the late answer to its first request first.
+            if !seen.lock().unwrap().insert(conn.0.peer_addr().unwrap()) {
+                let _ = conn.0.write_all(b"HTTP/1.1 500 Error\r\ncontent-length: 0\r\n\r\n");
+            }
+            conn.answer("202 Accepted", "", "{}");
+            true
+        });
+        let mut client = Client::start(&[(WORKER, peer.address)], 4);
+        for id in ["id-1", "id-2", "id-3"] {
+            let attempt = client.attempt(WORKER, id);
+            assert_eq!(client.outcome(attempt).await, Outcome::Read);
+        }
+        assert_eq!(told.try_iter().count(), 3);
+    })
+    .await;
+}
+
+/// Guards against an attempt that begins on a connection that comes up after its client has left.
+#[tokio::test]
+async fn an_attempt_cancelled_in_its_connect_ends_at_once() {
+    story(async {
+        let full = FullQueue::start();
+        let mut client = Client::start(&[(WORKER, full.address)], 1);
+        let attempt = client.attempt(WORKER, "id-1");
+        let begun: Rc<Cell<bool>> = attempt.begun.clone();
+        client.hosts.send(attempt);
+        while client.hosts.counters.connections_out.get() == 0 {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        client.cancel = None;
+        loop {
+            if let Input::Ended { outcome, .. } = client.inputs.recv().await.unwrap() {
+                assert_eq!(outcome, Outcome::Dropped);
+                break;
+            }
+        }
+        assert!(!begun.get() && client.hosts.pool.free_sockets() == 1);
+    })
+    .await;
+}
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -70,8 +70,17 @@
     let story = async {
         tokio::task::spawn_local(core.run(queue));
         let (id, target) = ("id-1".into(), String::new());
-        let client =
-            handle.ask(ask, Call { id, target, headers: Default::default(), body: "".into(), keeps: None });
+        let client = handle.ask(
+            ask,
+            Call {
+                id,
+                target,
+                headers: Default::default(),
+                body: "".into(),
+                client: Default::default(),
+                keeps: None,
+            },
+        );
         while notes.attempts.borrow().is_empty() {
             tokio::task::yield_now().await;
         }
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -353,6 +353,21 @@
         "w1" => assert!(sends(&after).iter().all(|w| *w == "w1")),
         _ => assert!(sends(&after).iter().all(|w| *w == "w2" || *w == "w3")),
     }
+    // A repeat has to begin inside the window, which counts from the first send that may have run.
+    let begin_before = |actions: &[Action]| {
+        actions
+            .iter()
+            .find_map(|a| if let Action::Send { begin_before, .. } = a { Some(*begin_before) } else { None })
+    };
+    let mut rig = Rig::fleet(settings());
+    rig.ask(1, "cell");
+    let first = rig.end(1, 0, Outcome::Read);
+    let sent = rig.now;
+    assert_eq!(begin_before(&first), Some(None));
+    rig.now += SECOND;
+    rig.end(1, 1, Outcome::Error);
+    let state = rig.end(1, 2, Outcome::Read);
+    assert_eq!(begin_before(&state), Some(Some(sent + 5 * SECOND)), "{state:?}");
     let mut rig = Rig::fleet(settings());
     rig.ask_with(Ask { request: RequestId(1), deadline: rig.now + 60 * SECOND, ..ask(rig.now, "cell") });
     rig.end(1, 0, Outcome::Read);
