Take no comment of a stream for an event, nor for a sign of life

Found by reading: a block of comment lines passed as an event. One before the first event handed the request to its client, so that what came spoilt behind it could not be tried again; comments without end kept a stream alive that brought nothing, and its client waiting. Only blocks with data count now. The end of a stream, too, is handed to a client for 30 s at most. Tests: the case a_comment_before_any_event and a_stream_of_comments_without_end_is_broken_off in tests/conductor.rs fail without it (the bound on the end has no test: it takes 30 s).

--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -1,7 +1,7 @@
 //! The client side: carries out attempts at model hosts and the calls around them.
 
 use super::discovery::Directory;
-use super::events::Events;
+use super::events::{Events, Part};
 use super::pool::{ConnectError, Connection, Pool, Target};
 use super::{Local, is_plain_id};
 use crate::core::{Attempt, Clock, CoreHandle, Input, Outbound, Releasing};
@@ -232,14 +232,17 @@
         let (request, index) = (attempt.request, attempt.attempt);
         self.core.tell(Input::First { request, attempt: index, feed });
         let mut tail = Vec::with_capacity(2 * TAIL);
-        let mut next = Some(first);
+        let mut next = Some(Part { bytes: first, is_event: true });
         let mut heard = Instant::now();
         loop {
-            if let Some(data) = next.take() {
-                keep_tail(&mut tail, &data);
+            if let Some(Part { bytes, is_event }) = next.take() {
+                keep_tail(&mut tail, &bytes);
+                let waiting = Instant::now();
                 // The channel is short: a slow client makes the model host wait, not this memory grow.
-                match tokio::time::timeout(CLIENT_STALLED, frames.send(Frame::Data(data))).await {
-                    Ok(Ok(())) => heard = Instant::now(),
+                match tokio::time::timeout(CLIENT_STALLED, frames.send(Frame::Data(bytes))).await {
+                    Ok(Ok(())) if is_event => heard = Instant::now(),
+                    // A comment is no sign of life, nor is a client that takes it slowly one of death.
+                    Ok(Ok(())) => heard += waiting.elapsed(),
                     _ => return (Outcome::Dropped.into(), false),
                 }
             }
@@ -253,9 +256,9 @@
                 }
                 // From the last whole event on: bytes that make none are no sign of life.
                 came = tokio::time::timeout_at(heard + STALLED, events.next()) => match came {
-                    Ok(Ok(Some(data))) => next = Some(data),
+                    Ok(Ok(Some(part))) => next = Some(part),
                     Ok(Ok(None)) if framed || ends_done(&tail) => {
-                        let _ = frames.send(Frame::End).await;
+                        let _ = tokio::time::timeout(CLIENT_STALLED, frames.send(Frame::End)).await;
                         return (End { outcome: Outcome::Served, kept: kept(&tail), report: None }, framed);
                     }
                     // A writer that waits for a tool's result has nothing to say.
@@ -389,7 +392,7 @@
             let checked = content_type.as_ref().is_some_and(|t| t.starts_with("text/event-stream"));
             let mut events = Events::new(body, checked);
             // The head alone is no event: until one has come, the attempt is still this conductor's.
-            return match events.next().await? {
+            return match events.first().await? {
                 Some(first) => Ok(Answered::Stream(Stream { first, events, content_type, framed })),
                 None => Ok(Answered::Whole { end: Outcome::ConnectionLost.into(), reusable: false }),
             };
--- a/src/net/events.rs
+++ b/src/net/events.rs
@@ -44,53 +44,91 @@
         self.body.size_hint().exact().is_some()
     }
 
+    /// What has come up to the end of the first event; `None` where the stream ends before one. A comment is none: until
+    /// there is an event nothing has been answered.
+    ///
+    /// # Errors
+    /// The stream is spoilt before its first event.
+    pub async fn first(&mut self) -> Result<Option<Bytes>, Spoilt> {
+        let mut before = BytesMut::new();
+        while let Some(part) = self.next().await? {
+            let is_event = part.is_event;
+            if before.is_empty() && is_event {
+                return Ok(Some(part.bytes));
+            }
+            before.extend_from_slice(&part.bytes);
+            if is_event {
+                return Ok(Some(before.freeze()));
+            }
+            if before.len() > MOST_EVENT {
+                return Err(Spoilt::TooLong);
+            }
+        }
+        Ok(None)
+    }
+
     /// The next events as they came, one or more whole ones; `None` at the stream's end. May be dropped and called
     /// again.
     ///
     /// # Errors
     /// The stream is spoilt from here on.
-    pub async fn next(&mut self) -> Result<Option<Bytes>, Spoilt> {
+    pub async fn next(&mut self) -> Result<Option<Part>, Spoilt> {
         while let Some(frame) = self.body.frame().await {
             let Ok(data) = frame?.into_data() else { continue };
-            let passed = if self.checked { self.gate.take(data)? } else { data };
-            if !passed.is_empty() {
-                return Ok(Some(passed));
+            let part =
+                if self.checked { self.gate.take(data)? } else { Part { bytes: data, is_event: true } };
+            if !part.bytes.is_empty() {
+                return Ok(Some(part));
             }
         }
         // The last event may lack the blank line behind it.
-        let rest = self.gate.rest()?;
-        Ok(Some(rest).filter(|r| !r.is_empty()))
+        let bytes = self.gate.rest()?;
+        Ok(Some(Part { bytes, is_event: true }).filter(|part| !part.bytes.is_empty()))
     }
 }
 
+/// A part of a stream, from one end of a block of lines to another.
+#[derive(Debug)]
+pub struct Part {
+    /// Its bytes, as they came.
+    pub bytes: Bytes,
+    /// Whether an event is among them: blocks of comments alone are none.
+    pub is_event: bool,
+}
+
 /// Holds back what is no whole event yet.
 #[derive(Default)]
 struct Gate {
     held: BytesMut,
+    /// Whether the block that has not ended yet has data.
+    has_data: bool,
     /// Bytes of `held` that have been looked at: whole lines.
     seen: usize,
 }
 
 impl Gate {
-    fn take(&mut self, data: Bytes) -> Result<Bytes, Spoilt> {
+    fn take(&mut self, data: Bytes) -> Result<Part, Spoilt> {
         self.held.extend_from_slice(&data);
-        let mut whole = 0;
+        let (mut whole, mut is_event) = (0, false);
         while let Some(end) = self.held[self.seen..].iter().position(|b| *b == b'\n') {
             let line = &self.held[self.seen..self.seen + end];
             let line = line.strip_suffix(b"\r").unwrap_or(line);
             if !is_field(line) {
                 return Err(Spoilt::NoEvent);
             }
+            let (ends_block, has_data) = (line.is_empty(), line.starts_with(b"data"));
             self.seen += end + 1;
-            if line.is_empty() {
+            self.has_data |= has_data;
+            if ends_block {
                 whole = self.seen;
+                is_event |= std::mem::take(&mut self.has_data);
             }
         }
         if self.held.len() - whole > MOST_EVENT {
             return Err(Spoilt::TooLong);
         }
         self.seen -= whole;
-        Ok(self.held.split_to(whole).freeze())
+        Ok(Part { bytes: self.held.split_to(whole).freeze(), is_event })
     }
 
     fn rest(&mut self) -> Result<Bytes, Spoilt> {
@@ -128,7 +166,7 @@
             let mut bad = false;
             for part in [&wire[..cut], &wire[cut..]] {
                 match gate.take(Bytes::copy_from_slice(part.as_bytes())) {
-                    Ok(bytes) => passed.extend_from_slice(&bytes),
+                    Ok(part) => passed.extend_from_slice(&part.bytes),
                     Err(_) => bad = true,
                 }
             }
--- a/tests/conductor.rs
+++ b/tests/conductor.rs
@@ -143,6 +143,7 @@
 #[case::noise("\u{1}\u{2}\u{3} nothing like HTTP\r\n\r\n", false)]
 #[case::a_head_that_can_t_be_read("HTTP/1.1 2x0 OK\r\n\r\n", false)]
 #[case::noise_for_a_first_event("{HEAD}5\r\nnoise\r\n6\r\nnoise\n\r\n", false)]
+#[case::a_comment_before_any_event("{HEAD}8\r\n: ping\n\n\r\nzz\r\n", false)]
 #[case::a_size_that_can_t_be_read("{HEAD}b\r\ndata: one\n\n\r\nzz\r\n", true)]
 #[case::a_size_too_small("{HEAD}b\r\ndata: one\n\n\r\n3\r\ndata: two\n\n\r\n", true)]
 #[case::a_size_too_large("{HEAD}b\r\ndata: one\n\n\r\n40\r\ndata: two\n\n\r\nb\r\ndata: x\n\n\r\n", true)]
@@ -176,6 +177,26 @@
     assert_eq!(closes.recv().unwrap(), "true");
 }
 
+/// Guards against a client left waiting by a stream that shows life for ever and brings no event.
+#[test]
+fn a_stream_of_comments_without_end_is_broken_off() {
+    let (closed, closes) = news();
+    let writer = Peer::start(move |_, conn| {
+        conn.begin_stream();
+        conn.delta("one");
+        while write!(conn.0, "8\r\n: ping\n\n\r\n").is_ok() {
+            std::thread::sleep(std::time::Duration::from_millis(50));
+        }
+        closed("closed".into());
+        false
+    });
+    let reader = Peer::reader();
+    let conductor = Conductor::start(&operator_file(&[reader.address], &[writer.address], ""));
+    let answer = conductor.ask("id-1", "send");
+    assert!(answer.status() == 200 && !answer.whole && answer.text().contains("one"));
+    closes.recv().unwrap();
+}
+
 /// Guards against requests written to connections that their hosts have given up without a word: one is enough to
 /// know of, and what must not run twice is not written to another.
 #[test]
