Let a prompt that takes longer than its aim by itself wait for a reader

Found by reading begin() in src/policy.rs: what can't be in time any more is refused at once when its reader is busy. It may now wait for as long again as it takes. The test a_long_prompt_is_not_refused_while_there_is_room fails without it.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -288,7 +288,9 @@
         let left = r.ask.deadline.saturating_sub(self.now) as f64;
         // With nothing of ours out it is tried all the same, or paces would never be learned anew.
         let doomed = !coming.is_empty() && takes(ahead + unread) + first(prompt) > left;
-        let late = waited + takes(unread) + first(prompt) > aim;
+        // What takes longer than its aim by itself is late anywhere: it may wait for as long again.
+        let alone = takes(unread) + first(prompt);
+        let late = waited + alone > if alone > aim { IMBALANCE * alone } else { aim };
         if reads && writes && !doomed {
             self.send(id, &target, (!direct).then_some(unread), out);
         } else if doomed || late || r.over_share {
--- a/tests/conductor.rs
+++ b/tests/conductor.rs
@@ -177,6 +177,34 @@
     assert_eq!(closes.recv().unwrap(), "true");
 }
 
+/// Guards against events that are held back or lumped: each one is here before the next one is written.
+#[test]
+fn each_event_is_passed_on_before_the_next_one_comes() {
+    let (go, gate) = mpsc::channel::<()>();
+    let gate = Mutex::new(gate);
+    let writer = Peer::start(move |_, conn| {
+        conn.begin_stream();
+        for number in 0..20 {
+            conn.delta(&format!("<{number}>"));
+            gate.lock().unwrap().recv().unwrap();
+        }
+        conn.end_stream();
+        true
+    });
+    let reader = Peer::reader();
+    let conductor = Conductor::start(&operator_file(&[reader.address], &[writer.address], ""));
+    let mut client = BufReader::new(conductor.connect());
+    client.get_mut().write_all(request("id-1", "send", "hello").as_bytes()).unwrap();
+    for number in 0..20 {
+        let mut line = String::new();
+        while !line.contains(&format!("<{number}>")) {
+            line.clear();
+            assert!(client.read_line(&mut line).unwrap() > 0, "ended before event {number}");
+        }
+        go.send(()).unwrap();
+    }
+}
+
 /// Guards against a client left waiting by a stream that shows life for ever and brings no event.
 #[test]
 fn a_stream_of_comments_without_end_is_broken_off() {
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -1,5 +1,6 @@
 //! The module's behaviour, one failure at a time, without any bench.
 
+use rstest::rstest;
 use std::sync::Arc;
 use whinhaven::Policy;
 use whinhaven::interface::*;
@@ -565,6 +566,105 @@
     assert!(rig.log.iter().filter(|a| matches!(a, Action::Refuse { .. })).all(advice));
 }
 
+/// Nothing of a request begins once its client has left, from the queue of this router least of all.
+#[rstest]
+#[case::while_it_waits(0)]
+#[case::while_it_is_read(1)]
+#[case::between_read_and_decode(2)]
+fn nothing_is_sent_for_a_client_that_has_left(#[case] steps: u32) {
+    let mut rig = Rig::fleet(settings());
+    let id = 200;
+    if steps == 0 {
+        // Both readers are out of service for a moment: the request waits.
+        let gone = ["r1", "r2"].map(|w| entry(w, 0, Status::Draining, None));
+        rig.list(ListKind::Changes, gone.to_vec());
+    }
+    rig.ask(id, "safe");
+    if steps == 2 {
+        // No writer takes it: its state waits at the reader.
+        let gone = ["w1", "w2", "w3"].map(|w| entry(w, 0, Status::Draining, None));
+        rig.list(ListKind::Changes, gone.to_vec());
+        rig.end(id, 0, Outcome::Read);
+    }
+    rig.event(Event::Left { request: RequestId(id) });
+    let before = rig.log.len();
+    let back = ["r1", "r2", "w1", "w2", "w3"].map(|w| entry(w, 0, Status::Ready, None));
+    rig.list(ListKind::Changes, back.to_vec());
+    if steps == 1 {
+        rig.end(id, 0, Outcome::Read);
+    }
+    rig.pass(SECOND);
+    assert!(sends(&rig.log[before..]).is_empty());
+    assert_eq!(releases(&rig.log) > 0, steps > 0);
+}
+
+/// On a quiet day no session is refused, whatever its prompts are: each turn ends before the next one comes.
+#[test]
+fn no_session_is_refused_while_there_is_room() {
+    let mut rig = Rig::fleet(settings());
+    for id in 0..600 {
+        let session = id % 40;
+        let prompt_tokens = 200 + 300 * session + 100 * (id / 40);
+        let ask = Ask {
+            request: RequestId(id),
+            session: Some(Arc::from(format!("s{session}"))),
+            prompt_tokens,
+            ..ask(rig.now, ["safe", "once", "cell"][session as usize % 3])
+        };
+        rig.ask_with(ask);
+        rig.pass(20 * MS);
+        for (attempt, outcome) in [(0, Outcome::Read), (1, Outcome::Served)] {
+            rig.event(Event::Ended(Ended {
+                request: RequestId(id),
+                attempt: AttemptIndex(attempt),
+                outcome,
+                elapsed: prompt_tokens * 20,
+                settled: outcome == Outcome::Served,
+                kept: 0,
+                report: None,
+            }));
+        }
+    }
+    assert_eq!(finals(&rig.log), 0, "refused or failed");
+    assert_eq!(sends(&rig.log).len(), 1200);
+}
+
+/// Guards against an admission that singles out long prompts: one that takes longer than its aim by itself is late
+/// wherever it goes, which is no reason to refuse it while a reader has room for it.
+#[test]
+fn a_long_prompt_is_not_refused_while_there_is_room() {
+    let mut rig = Rig::fleet(settings());
+    // Teach the pace: 2,000 tokens take 100 ms.
+    for id in 1..40 {
+        rig.ask(id, "safe");
+        rig.now += 100 * MS;
+        rig.event(Event::Ended(Ended {
+            request: RequestId(id),
+            attempt: AttemptIndex(0),
+            outcome: Outcome::Read,
+            elapsed: 100 * MS,
+            settled: false,
+            kept: 0,
+            report: None,
+        }));
+        rig.end(id, 1, Outcome::Served);
+    }
+    // A short read is out at each reader.
+    for id in 100..106 {
+        rig.ask(id, "safe");
+    }
+    let long = ask(rig.now, "safe");
+    let long = Ask { request: RequestId(200), prompt_tokens: 60_000, deadline: rig.now + 8 * SECOND, ..long };
+    let mut actions = rig.ask_with(long);
+    actions.extend(rig.pass(100 * MS));
+    for id in 100..106 {
+        actions.extend(rig.end(id, 0, Outcome::Read));
+    }
+    let refused = |a: &Action| matches!(a, Action::Refuse { request: RequestId(200), .. });
+    let sent = |a: &Action| matches!(a, Action::Send { request: RequestId(200), .. });
+    assert!(!actions.iter().any(refused) && actions.iter().any(sent), "{actions:?}");
+}
+
 #[test]
 fn what_cannot_begin_before_its_client_leaves_is_refused_at_once() {
     // Found in an incident: clients left sooner than a read takes, and every read was wasted.
