--- a/tests/conductor.rs
+++ b/tests/conductor.rs
@@ -28,6 +28,20 @@
     })
 }
 
+/// A writer that streams one answer, and the messages that it was sent.
+fn writer_that_notes() -> (Peer, mpsc::Receiver<Message>) {
+    let (seen, messages) = mpsc::channel();
+    let seen = Mutex::new(seen);
+    let writer = Peer::start(move |message, conn| {
+        seen.lock().unwrap().send(message.clone()).unwrap();
+        conn.begin_stream();
+        conn.delta("one");
+        conn.end_stream();
+        true
+    });
+    (writer, messages)
+}
+
 /// A peer that notes each first line and leaves the rest to `act`.
 fn noting(
     act: impl Fn(&Message, &mut Conn) -> bool + Send + Sync + 'static,
@@ -43,16 +57,7 @@
 
 #[test]
 fn a_request_is_read_then_written_and_nothing_of_it_is_changed() {
-    let (seen, messages) = mpsc::channel();
-    let seen = Mutex::new(seen);
-    let writer = Peer::start(move |message, conn| {
-        seen.lock().unwrap().send(message.clone()).unwrap();
-        conn.begin_stream();
-        conn.delta("one");
-        conn.end_stream();
-        true
-    });
-    let reader = Peer::reader();
+    let ((writer, messages), reader) = (writer_that_notes(), Peer::reader());
     let conductor = Conductor::start(&operator_file(&[reader.address], &[writer.address], ""));
     assert!(conductor.raw(b"GET /healthz HTTP/1.1\r\nhost: a\r\n\r\n").line.contains("200"));
     let answer = conductor.ask("id-1", "send");
@@ -72,16 +77,7 @@
 /// nobody else, and the deadline is told anew.
 #[test]
 fn a_request_keeps_its_end_to_end_headers_and_no_others() {
-    let (seen, messages) = mpsc::channel();
-    let seen = Mutex::new(seen);
-    let writer = Peer::start(move |message, conn| {
-        seen.lock().unwrap().send(message.clone()).unwrap();
-        conn.begin_stream();
-        conn.delta("one");
-        conn.end_stream();
-        true
-    });
-    let reader = Peer::reader();
+    let ((writer, messages), reader) = (writer_that_notes(), Peer::reader());
     let conductor = Conductor::start(&operator_file(&[reader.address], &[writer.address], ""));
     let more = "idempotency-key: k-1\r\nx-other: a\r\nx-other: b\r\ncontent-type: application/json\r\n\
                 connection: x-hop\r\nx-hop: c\r\nkeep-alive: timeout=5\r\nte: trailers\r\ncontent-length";
