--- a/tests/bad_clients.rs
+++ b/tests/bad_clients.rs
@@ -115,3 +115,149 @@
     drop(clients);
     while conductor.ask("id-last", "send").status() != 200 {}
 }
+
+#[rstest]
+#[case::path("POST /v1/other HTTP/1.1\r\nhost: a\r\n\r\n", 404)]
+#[case::method("GET /v1/chat/completions HTTP/1.1\r\nhost: a\r\n\r\n", 405)]
+#[case::no_id(
+    "POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\nx-class: send\r\nx-deadline: 1m\r\n\r\n",
+    400
+)]
+#[case::odd_id(
+    "POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\nx-request-id: a/../b\r\nx-class: send\r\nx-deadline: 1m\r\n\r\n",
+    400
+)]
+#[case::class(
+    "POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\nx-request-id: a\r\nx-class: nope\r\nx-deadline: 1m\r\n\r\n",
+    400
+)]
+#[case::no_unit(
+    "POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\nx-request-id: a\r\nx-class: send\r\nx-deadline: 100\r\n\r\n",
+    400
+)]
+#[case::negative(
+    "POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\nx-request-id: a\r\nx-class: send\r\nx-deadline: -1m\r\n\r\n",
+    400
+)]
+#[case::overflow(
+    "POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\nx-request-id: a\r\nx-class: send\r\nx-deadline: 99999999999999999999m\r\n\r\n",
+    400
+)]
+#[case::extras(
+    "POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\nx-request-id: a\r\nx-class: send\r\nx-deadline: 1m\r\nx-extras: prompt_len=-4\r\n\r\n",
+    400
+)]
+#[case::too_long(
+    "POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\nx-request-id: a\r\nx-class: send\r\nx-deadline: 1m\r\ncontent-length: 262145\r\n\r\n",
+    413
+)]
+#[case::framing("POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\ncontent-length: x\r\n\r\n", 400)]
+#[case::not_http("\u{16}\u{3}\u{1}\r\n\r\n", 400)]
+#[case::bad_chunk(
+    "POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\nx-request-id: a\r\nx-class: send\r\nx-deadline: 1m\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n",
+    400
+)]
+#[case::length_then_coding(
+    "POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\nx-request-id: a\r\nx-class: send\r\nx-deadline: 1000m\r\ncontent-length: 5\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+    400
+)]
+#[case::coding_then_length(
+    "POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\nx-request-id: a\r\nx-class: send\r\nx-deadline: 1000m\r\ntransfer-encoding: chunked\r\ncontent-length: 5\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+    400
+)]
+#[case::two_lengths(
+    "POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\nx-request-id: a\r\nx-class: send\r\nx-deadline: 1000m\r\ncontent-length: 5\r\ncontent-length: 6\r\n\r\nhello!",
+    400
+)]
+#[case::other_coding(
+    "POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\nx-request-id: a\r\nx-class: send\r\nx-deadline: 1000m\r\ntransfer-encoding: gzip\r\n\r\nhello",
+    400
+)]
+#[case::negative_length(
+    "POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\nx-request-id: a\r\nx-class: send\r\nx-deadline: 1000m\r\ncontent-length: -5\r\n\r\nhello",
+    400
+)]
+#[case::too_short_a_length(
+    "POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\nx-request-id: a\r\nx-class: send\r\nx-deadline: 1000m\r\ncontent-length: 5\r\n\r\nhello, all of you",
+    400
+)]
+fn bad_input_is_a_plain_4xx_and_is_never_forwarded(#[case] bytes: &str, #[case] status: u16) {
+    let (peer, told) = noting(|_, _| false);
+    let conductor = Conductor::start(&operator_file(&[peer.address], &[peer.address], ""));
+    assert_eq!(conductor.raw(bytes.as_bytes()).status(), status);
+    // What stands behind such a request, or in its body, may be answered with a 4xx of its own.
+    assert!((1..=2).contains(&conductor.stop().get("bad_requests")));
+    assert_eq!(told.try_iter().count(), 0);
+}
+
+/// Guards against places held by clients that connect by the hundred and say nothing, or never all: others are
+/// served meanwhile, and nothing runs out.
+#[rstest]
+#[case::silent("")]
+#[case::half_a_request("POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\n")]
+fn clients_that_hold_places_make_room_for_others(#[case] bytes: &str) {
+    let (reader, writer) = (Peer::reader(), writer());
+    let file =
+        operator_file(&[reader.address], &[writer.address], "limits = { sockets = 256, memory_mb = 64 }");
+    let conductor = Conductor::start(&file);
+    let hold = |_| {
+        let mut client = conductor.connect();
+        let _ = client.write_all(bytes.as_bytes());
+        client
+    };
+    let holding: Vec<_> = (0..300).map(hold).collect();
+    let mut tries = 0;
+    while conductor.ask(&format!("id-{tries}"), "send").status() != 200 {
+        tries += 1;
+    }
+    drop(holding);
+    assert!(conductor.stop().get("connections_evicted") >= 1);
+}
+
+/// Guards against connections held for good: what doesn't come whole in time is told so, however it dawdles.
+#[rstest]
+#[case::nothing("", 0)]
+#[case::half_a_head("POST /v1/chat/completions HTTP/1.1\r\nhost:", 408)]
+#[case::half_a_body(
+    "POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\nx-request-id: a\r\nx-class: send\r\nx-deadline: 1000m\r\ncontent-length: 900\r\n\r\nhalf",
+    408
+)]
+#[case::a_chunk_without_end(
+    "POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\nx-request-id: a\r\nx-class: send\r\nx-deadline: 1000m\r\ntransfer-encoding: chunked\r\n\r\nfff\r\n",
+    408
+)]
+fn what_does_not_come_whole_is_closed_though_it_drips(#[case] bytes: &str, #[case] status: u16) {
+    let (peer, told) = noting(|_, _| false);
+    let conductor = Conductor::start(&operator_file(&[peer.address], &[peer.address], ""));
+    let mut client = conductor.connect();
+    client.write_all(bytes.as_bytes()).unwrap();
+    if status != 0 {
+        let mut dripping = client.try_clone().unwrap();
+        std::thread::spawn(move || {
+            while dripping.write_all(b"x").is_ok() {
+                std::thread::sleep(std::time::Duration::from_millis(100));
+            }
+        });
+    }
+    let answer = Message::read(&mut BufReader::new(client)).unwrap_or_default();
+    assert_eq!(answer.status(), status);
+    drop(conductor);
+    assert_eq!(told.try_iter().count(), 0);
+}
+
+/// Guards against an answer lost to the reset of a socket closed over unread bytes, and against reading on for as
+/// long as a client sends.
+#[test]
+fn a_body_far_too_long_is_told_so_and_is_not_read_to_its_end() {
+    let conductor = Conductor::start(&operator_file(&[Peer::nobody()], &[Peer::nobody()], ""));
+    let mut client = conductor.connect();
+    let mut sending = client.try_clone().unwrap();
+    let head = "POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\nx-request-id: a\r\nx-class: send\r\nx-deadline: 1000m\r\n";
+    let sent = std::thread::spawn(move || {
+        let begun = sending.write_all(format!("{head}content-length: 60000000\r\n\r\n").as_bytes());
+        begun.is_ok() && (0..60).all(|_| sending.write_all(&[b'a'; 1_000_000]).is_ok())
+    });
+    let answer = Message::read(&mut BufReader::new(&mut client)).unwrap();
+    assert_eq!((answer.status(), answer.header("connection")), (413, Some("close")));
+    assert!(!sent.join().unwrap());
+}
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -7,7 +7,7 @@
 use std::collections::HashSet;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::rc::Rc;
-use std::sync::{Mutex, mpsc};
+use std::sync::{Arc, Mutex, mpsc};
 use support::*;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -276,3 +276,50 @@
     };
     tokio::task::LocalSet::new().run_until(story).await;
 }
+
+/// Guards against a SIGHUP during an orderly end that breaks it off.
+#[test]
+fn sighup_while_stopping_does_no_harm() {
+    let conductor = Conductor::start(&operator_file(&[Peer::nobody()], &[Peer::nobody()], ""));
+    conductor.signal("-TERM");
+    conductor.wait_for("stopping");
+    conductor.signal("-HUP");
+    conductor.wait_for("reload: discovery stays");
+    assert_eq!(conductor.stop().get("reloads"), 1);
+}
+
+/// Guards against a stop that loses what was taken: SIGTERM lets it finish, and new connections still come.
+#[test]
+fn sigterm_finishes_what_was_taken_and_exits_in_order() {
+    let (begun, begins) = news();
+    let go = Arc::new(Mutex::new(()));
+    let held = go.lock().unwrap();
+    let gate = go.clone();
+    let writer = Peer::start(move |_, conn| {
+        conn.begin_stream();
+        conn.delta("one");
+        begun("".into());
+        drop(gate.lock());
+        conn.end_stream();
+        true
+    });
+    let reader = Peer::reader();
+    let conductor = Conductor::start(&operator_file(&[reader.address], &[writer.address], ""));
+    let mut client = BufReader::new(conductor.connect());
+    let mut idle = conductor.connect();
+    client.get_mut().write_all(request("id-1", "send", "hello").as_bytes()).unwrap();
+    begins.recv().unwrap();
+    // The conductor has begun to answer, too.
+    client.fill_buf().unwrap();
+    conductor.signal("-USR1");
+    assert_eq!(Counters(conductor.wait_for("counters:")).get("answered_stream"), 1);
+    conductor.signal("-TERM");
+    conductor.wait_for("stopping");
+    assert!(conductor.raw(b"GET /healthz HTTP/1.1\r\nhost: a\r\n\r\n").line.contains("503"));
+    // Idle ones are closed, and only then is the stream let go on.
+    assert_eq!(idle.read(&mut [0]).unwrap(), 0);
+    drop(held);
+    assert!(Message::read(&mut client).unwrap().whole);
+    let line = conductor.wait_for("stopped");
+    assert_eq!(Counters(line).get("ended_served"), 1);
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -323,3 +323,68 @@
         found.unwrap_or_else(|| panic!("no counter {name} in {}", self.0))
     }
 }
+
+/// A channel that scripts may share.
+pub fn news() -> (Arc<dyn Fn(String) + Send + Sync>, mpsc::Receiver<String>) {
+    let (tx, rx) = mpsc::channel();
+    let tx = Mutex::new(tx);
+    (Arc::new(move |text| _ = tx.lock().unwrap().send(text)), rx)
+}
+
+/// A writer that streams one answer.
+pub fn writer() -> Peer {
+    Peer::start(|_, conn| {
+        conn.begin_stream();
+        conn.delta("one");
+        conn.delta("two");
+        conn.end_stream();
+        true
+    })
+}
+
+/// A writer that streams one answer, and the messages that it was sent.
+pub fn writer_that_notes() -> (Peer, mpsc::Receiver<Message>) {
+    let (seen, messages) = mpsc::channel();
+    let seen = Mutex::new(seen);
+    let writer = Peer::start(move |message, conn| {
+        seen.lock().unwrap().send(message.clone()).unwrap();
+        conn.begin_stream();
+        conn.delta("one");
+        conn.end_stream();
+        true
+    });
+    (writer, messages)
+}
+
+/// A peer that notes each first line and leaves the rest to `act`.
+pub fn noting(
+    act: impl Fn(&Message, &mut Conn) -> bool + Send + Sync + 'static,
+) -> (Peer, mpsc::Receiver<String>) {
+    noting_all(move |message, conn| {
+        if message.line.starts_with("DELETE") {
+            conn.answer("204 No Content", "", "");
+            return true;
+        }
+        act(message, conn)
+    })
+}
+
+pub fn noting_all(
+    act: impl Fn(&Message, &mut Conn) -> bool + Send + Sync + 'static,
+) -> (Peer, mpsc::Receiver<String>) {
+    let (tell, told) = news();
+    let peer = Peer::start(move |message, conn| {
+        tell(message.line.clone());
+        act(message, conn)
+    });
+    (peer, told)
+}
+
+pub fn writer_that_releases_nothing(message: &Message, conn: &mut Conn) -> bool {
+    if message.line.starts_with("POST") {
+        conn.begin_stream();
+        conn.delta("one");
+        conn.end_stream();
+    }
+    message.line.starts_with("POST")
+}
