--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -301,3 +301,69 @@
     })
     .await;
 }
+
+/// A late answer of a given-up attempt goes nowhere: its connection is closed, and the next attempt has one of its own.
+#[tokio::test]
+async fn a_late_answer_of_a_given_up_attempt_goes_nowhere() {
+    story(async {
+        let (go, gate) = mpsc::channel::<()>();
+        let (closed, closes) = mpsc::channel();
+        let script = Mutex::new((gate, closed));
+        let (peer, told) = noting(move |message, conn| {
+            if message.header("x-request-id") == Some("id-1") {
+                let script = script.lock().unwrap();
+                script.0.recv().unwrap();
+                conn.answer("500 Error", "", "");
+                script.1.send(conn.is_closed()).unwrap();
+                return false;
+            }
+            conn.answer("202 Accepted", "", "{}");
+            true
+        });
+        let mut client = Client::start(&[(WORKER, peer.address)], 4);
+        let mut first = client.attempt(WORKER, "id-1");
+        first.until = client.now() + SECOND / 4;
+        assert_eq!(client.outcome(first).await, Outcome::NoAnswer);
+        let second = client.attempt(WORKER, "id-2");
+        assert_eq!(client.outcome(second).await, Outcome::Read);
+        go.send(()).unwrap();
+        assert!(closes.recv().unwrap());
+        assert!(client.inputs.try_recv().is_err(), "nothing more is heard of it");
+        assert_eq!(told.try_iter().count(), 2);
+    })
+    .await;
+}
+
+/// The pool cleared while a connection is out does not touch the attempt on it.
+#[tokio::test]
+async fn an_attempt_outlives_a_pool_cleared_meanwhile() {
+    story(async {
+        let (go, gate) = mpsc::channel::<()>();
+        let gate = Mutex::new(gate);
+        let (peer, told) = noting(move |_, conn| {
+            gate.lock().unwrap().recv().unwrap();
+            conn.answer("202 Accepted", "", "{}");
+            true
+        });
+        let mut client = Client::start(&[(WORKER, peer.address)], 4);
+        for id in ["id-1", "id-2"] {
+            let attempt = client.attempt(WORKER, id);
+            let begun = attempt.begun.clone();
+            client.hosts.send(attempt);
+            while !begun.get() {
+                tokio::task::yield_now().await;
+            }
+            client.hosts.pool.clear();
+            client.hosts.pool.hang_up(&WorkerId(WORKER.into()));
+            go.send(()).unwrap();
+            loop {
+                if let Input::Ended { outcome, .. } = client.inputs.recv().await.unwrap() {
+                    assert_eq!(outcome, Outcome::Read);
+                    break;
+                }
+            }
+        }
+        assert_eq!(told.try_iter().count(), 2);
+    })
+    .await;
+}
