--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -381,3 +381,28 @@
         assert!(release.is_some() && send.is_none_or(|send| release < Some(send)), "{outcome:?}: {then:?}");
     }
 }
+
+/// What a prefill has left is handed over though its reader drains; once the reader is gone, or the writer finds nothing,
+/// the prompt is read anew, and no state is held for longer than its limit.
+#[rstest]
+#[case::drains(Status::Draining)]
+#[case::is_gone(Status::Gone)]
+fn a_reader_that_leaves_after_its_read_costs_no_answer(#[case] status: Status) {
+    let mut rig = Rig::fleet(settings());
+    let reader = sends(&rig.ask(1, "once"))[0].to_owned();
+    // No writer is there at first: the state waits while the reader leaves.
+    let writers = ["w1", "w2", "w3"];
+    rig.list(ListKind::Changes, writers.map(|w| entry(w, 0, Status::Draining, None)).to_vec());
+    rig.end(1, 0, Outcome::Read);
+    rig.list(ListKind::Changes, vec![entry(&reader, 0, status, None)]);
+    let handed = rig.list(ListKind::Changes, writers.map(|w| entry(w, 0, Status::Ready, None)).to_vec());
+    assert!(sends(&handed)[0].starts_with('w'), "{handed:?}");
+    let again = rig.end(1, 1, Outcome::NoState);
+    let second = sends(&again)[0].to_owned();
+    assert!(second.starts_with('r') && second != reader, "{again:?}");
+    let handed = rig.end(1, 2, Outcome::Read);
+    assert!(sends(&handed)[0].starts_with('w'), "{handed:?}");
+    rig.end(1, 3, Outcome::Served);
+    rig.pass(2 * SECOND);
+    assert_eq!(finals(&rig.log), 0, "refused or failed");
+}
