Read nothing behind a request in hand: what can't be answered stays unread

Cause: reading ahead. hyper's buffer, `Watch::has_left` and `close_and_discard` all took bytes of later requests off the socket; when the connection then ended (an answer that says close, a resting connection closed or evicted, the closing stage) these were dropped. Their clients may send again only what was not read, so such requests were lost. For the same reason a close was seen only by reading: not while the budget of bytes was spent, and not before the runtime had told of the bytes in front of it (`try_read` goes by remembered readiness).

Lines at fault: net/connection.rs `close_and_discard`, net/framing.rs `Watch::has_left` and `Watched::poll_read`.

Now a request's end is found before its bytes are read, and hyper's input stops there until the answer is over; chunked bodies are followed too. Closing waits for the client without reading.

Seen: tests/connections.rs against the old program: 5 of its 6 tests fail (the crossing request on a shut-down and on an evicted connection, the one behind an answer that closes, a close not seen in the same turn and behind unread bytes); the garbage behind a sound request held.

--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -1,12 +1,13 @@
 //! One client connection, from its accept to its end: reading, in hand, answering, idle, closing.
 //!
 //! hyper reads requests and writes answers; when the connection ends is decided here. From the moment in which its
-//! sending side is shut down nothing that still arrives is handed on, and it is read and dropped until the client has
-//! closed too: a socket closed over unread bytes is reset, and what the client has not read is lost with it.
+//! sending side is shut down nothing is read any more: a request that crosses the close may be sent again elsewhere only
+//! if it was not read. A socket closed over unread bytes is reset, and what the client has not read is lost with it, so
+//! the client has some time to close first.
 
 use super::Local;
-use super::framing::{Standing, Watch, Watched};
-use super::server::{Answering, MOST_BODY, Stage};
+use super::client_socket::{ClientSocket, GatedSocket, Phase};
+use super::server::{Answering, Stage};
 use super::socket::Socket;
 use crate::counters::Counters;
 use hyper::body::Incoming;
@@ -17,7 +18,6 @@
 use std::future::poll_fn;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::AsyncReadExt;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -37,8 +37,6 @@
 const LINGER: Duration = Duration::from_secs(1);
 /// The same where the place is wanted for others: a round trip on any ordinary way.
 const LINGER_EVICTED: Duration = Duration::from_millis(200);
-/// Bytes that are read and dropped meanwhile.
-const MOST_LINGER: usize = 2 * MOST_BODY;
 /// Bytes that have arrived reach hyper within this.
 const UNREAD_RECHECK: Duration = Duration::from_millis(1);
 /// For a request that did not come in time.
@@ -59,30 +57,30 @@
 }
 
 /// When a connection is to be ended as it stands.
-fn due(watch: &Watch, accepted: Instant, stage: Stage) -> Option<Instant> {
-    match watch.standing() {
-        Standing::InHand => None,
-        Standing::Idle(since) if watch.is_blocked() => Some(since + CLIENT_STALLED),
-        _ if watch.is_unwanted() => Some(accepted),
-        Standing::Idle(since) if stage == Stage::Closing && watch.has_answered() => Some(since),
-        Standing::Idle(since) if watch.has_answered() => Some(since + IDLE_CLIENT),
-        Standing::Idle(_) if stage == Stage::Closing => Some(accepted + SILENT_CLIENT_AT_SHUTDOWN),
-        Standing::Idle(since) => Some(since + SILENT_CLIENT),
-        Standing::Arriving(_) if !watch.has_answered() => Some(accepted + ARRIVE),
-        Standing::Arriving(since) => Some(since + ARRIVE),
+fn due(client: &ClientSocket, accepted: Instant, stage: Stage) -> Option<Instant> {
+    match client.phase() {
+        Phase::InHand => None,
+        Phase::Idle(since) if client.is_write_blocked() => Some(since + CLIENT_STALLED),
+        _ if client.is_evicted() => Some(accepted),
+        Phase::Idle(since) if stage == Stage::Closing && client.has_answered() => Some(since),
+        Phase::Idle(since) if client.has_answered() => Some(since + IDLE_CLIENT),
+        Phase::Idle(_) if stage == Stage::Closing => Some(accepted + SILENT_CLIENT_AT_SHUTDOWN),
+        Phase::Idle(since) => Some(since + SILENT_CLIENT),
+        Phase::Arriving(_) if !client.has_answered() => Some(accepted + ARRIVE),
+        Phase::Arriving(since) => Some(since + ARRIVE),
     }
 }
 
 /// Whether a connection is between two requests, with its last answer written out.
-fn is_at_rest(watch: &Watch) -> bool {
-    matches!(watch.standing(), Standing::Idle(_)) && watch.has_answered() && !watch.is_blocked()
+fn is_at_rest(client: &ClientSocket) -> bool {
+    matches!(client.phase(), Phase::Idle(_)) && client.has_answered() && !client.is_write_blocked()
 }
 
 /// Serves a connection until it has ended.
 pub async fn serve<S>(
     service: S,
     stage: watch::Receiver<Stage>,
-    watch: &Rc<Watch>,
+    client: &Rc<ClientSocket>,
     counters: &Counters,
     accepted: Instant,
 ) where
@@ -93,8 +91,8 @@
             Future = Local<Result<Response<Answering>, Infallible>>,
         > + Unpin,
 {
-    let _ = watch.stream().set_nodelay(true);
-    let ended = run(service, stage, watch, accepted).await;
+    let _ = client.stream().set_nodelay(true);
+    let ended = run(service, stage, client, accepted).await;
     match &ended {
         Ended::ByHttp(Err(error)) => {
             log::debug!("client connection: {error}");
@@ -105,21 +103,26 @@
         }
         Ended::RequestOverdue => {
             counters.slow_clients.up();
-            let _ = watch.stream().try_write(TOO_SLOW);
+            let _ = client.stream().try_write(TOO_SLOW);
         }
         Ended::ByHttp(Ok(())) | Ended::Idle => {}
         Ended::Stalled | Ended::ClientLeft => return,
     }
-    watch.finish();
+    client.answered();
     tokio::select! {
-        () = close_and_discard(Socket(watch.stream().clone())) => {}
+        () = close(client) => {}
         () = tokio::time::sleep(LINGER) => {}
-        () = evicted(watch) => {}
+        () = evicted(client) => {}
     }
 }
 
 /// Lets hyper read requests and answer them until the connection has to end.
-async fn run<S>(service: S, mut stage: watch::Receiver<Stage>, watch: &Rc<Watch>, accepted: Instant) -> Ended
+async fn run<S>(
+    service: S,
+    mut stage: watch::Receiver<Stage>,
+    client: &Rc<ClientSocket>,
+    accepted: Instant,
+) -> Ended
 where
     S: hyper::service::Service<
             Request<Incoming>,
@@ -132,13 +135,13 @@
         .timer(TokioTimer::new())
         .header_read_timeout(None)
         .max_buf_size(64 * 1024)
-        .serve_connection(TokioIo::new(Watched::new(watch.clone())), service);
+        .serve_connection(TokioIo::new(GatedSocket::new(client.clone())), service);
     let mut recheck: Option<Instant> = None;
     loop {
         let now_stage = *stage.borrow_and_update();
-        let due = recheck.take().or_else(|| due(watch, accepted, now_stage));
+        let due = recheck.take().or_else(|| due(client, accepted, now_stage));
         // At once: a request that comes while a timer runs out would have to be taken.
-        if now_stage == Stage::Closing && is_at_rest(watch) && !watch.has_unread() {
+        if now_stage == Stage::Closing && is_at_rest(client) && !client.has_unread() {
             return Ended::Idle;
         }
         tokio::select! {
@@ -146,17 +149,17 @@
             // First: what has come by now is looked at before any deadline is.
             ended = poll_fn(|cx| connection.poll_without_shutdown(cx)) => return Ended::ByHttp(ended),
             Ok(()) = stage.changed() => {}
-            () = watch.changed() => {}
-            () = watch.left(), if watch.standing() == Standing::InHand => return Ended::ClientLeft,
+            () = client.changed() => {}
+            () = client.left(), if client.phase() == Phase::InHand => return Ended::ClientLeft,
             () = async { tokio::time::sleep_until(due.unwrap_or(accepted)).await }, if due.is_some() => {
-                match watch.standing() {
-                    Standing::InHand => {}
-                    Standing::Idle(_) if watch.is_blocked() => return Ended::Stalled,
+                match client.phase() {
+                    Phase::InHand => {}
+                    Phase::Idle(_) if client.is_write_blocked() => return Ended::Stalled,
                     // A request has come that hyper has not been told of: it is no longer idle.
-                    Standing::Idle(_) if watch.has_unread() => recheck = Some(Instant::now() + UNREAD_RECHECK),
-                    Standing::Idle(_) => return Ended::Idle,
-                    Standing::Arriving(_) if watch.is_blocked() => return Ended::Stalled,
-                    Standing::Arriving(_) => return Ended::RequestOverdue,
+                    Phase::Idle(_) if client.has_unread() => recheck = Some(Instant::now() + UNREAD_RECHECK),
+                    Phase::Idle(_) => return Ended::Idle,
+                    Phase::Arriving(_) if client.is_write_blocked() => return Ended::Stalled,
+                    Phase::Arriving(_) => return Ended::RequestOverdue,
                 }
             }
         }
@@ -164,23 +167,19 @@
 }
 
 /// Resolves when the connection's place is wanted for others, and the client has had a moment to close.
-async fn evicted(watch: &Watch) {
-    while !watch.is_unwanted() {
-        watch.changed().await;
+async fn evicted(client: &ClientSocket) {
+    while !client.is_evicted() {
+        client.changed().await;
     }
     tokio::time::sleep(LINGER_EVICTED).await;
 }
 
-/// Ends the sending side, then reads and drops what arrives until the client has closed.
-async fn close_and_discard(mut socket: Socket) {
-    let _ = socket.end();
-    let (mut scrap, mut left) = (vec![0; 8 * 1024], MOST_LINGER);
-    while left > 0 {
-        match socket.read(&mut scrap).await {
-            Ok(n) if n > 0 => left = left.saturating_sub(n),
-            _ => return,
-        }
+/// Ends the sending side, then waits until the client has closed, and takes nothing in any more.
+async fn close(client: &ClientSocket) {
+    let _ = Socket(client.stream().clone()).end();
+    client.left().await;
+    // A client that has only ended its sending may still be reading: over unread bytes it would be reset.
+    if client.has_unread() {
+        std::future::pending().await
     }
-    // Past that its sending is left to stand.
-    std::future::pending().await
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod budget;
 pub mod client;
+pub mod client_socket;
 pub mod connection;
 pub mod discovery;
 pub mod events;
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -2,11 +2,11 @@
 
 use super::Local;
 use super::budget::{Budget, Held};
+use super::client_socket::{ClientSocket, Phase};
 use super::connection::serve;
-use super::framing::{Standing, Watch};
 use crate::core::CoreHandle;
 use crate::counters::Counters;
-use crate::exchange::{Call, ClientConnection};
+use crate::exchange::Call;
 use crate::front::jsonrpc;
 use crate::front::platform::{self, AnswerBody, plain};
 use crate::interface::Micros;
@@ -89,8 +89,8 @@
     }
 
     async fn respond(self, arrival: Arrival) -> Response<AnswerBody> {
-        let Arrival { request, watch, stage } = arrival;
-        if !watch.head() {
+        let Arrival { request, client, stage } = arrival;
+        if !client.is_next_head_sound() {
             return self.bad(StatusCode::BAD_REQUEST, "ambiguous framing\n");
         }
         let path = request.uri().path();
@@ -106,13 +106,13 @@
             if request.method() != Method::POST {
                 return self.bad(StatusCode::METHOD_NOT_ALLOWED, "wrong method\n");
             }
-            return match self.body(request.into_body(), &watch).await {
+            return match self.body(request.into_body(), &client).await {
                 Ok((body, _held)) => front.respond(body).await,
                 Err(response) => response,
             };
         }
         match (path, request.method()) {
-            (platform::PATH, &Method::POST) => self.platform(request, &watch, &stage).await,
+            (platform::PATH, &Method::POST) => self.platform(request, &client, &stage).await,
             (platform::PATH | "/healthz", _) => self.bad(StatusCode::METHOD_NOT_ALLOWED, "wrong method\n"),
             _ => self.bad(StatusCode::NOT_FOUND, "no such path\n"),
         }
@@ -121,7 +121,7 @@
     async fn platform(
         self,
         request: Request<Incoming>,
-        watch: &Rc<Watch>,
+        client: &Rc<ClientSocket>,
         stage: &watch::Receiver<Stage>,
     ) -> Response<AnswerBody> {
         let shared = self.shared.clone();
@@ -133,7 +133,7 @@
         if !shared.classes.contains(&intake.ask.class) {
             return self.bad(StatusCode::BAD_REQUEST, "unknown class\n");
         }
-        let (body, held) = match self.body(body, watch).await {
+        let (body, held) = match self.body(body, client).await {
             Ok(body) => body,
             Err(response) => return response,
         };
@@ -142,7 +142,7 @@
             intake.ask.prompt_tokens = body.len() as u64 / 4;
         }
         // Its request may have waited behind an earlier one, or to be accepted.
-        if watch.has_left() {
+        if client.has_left() {
             shared.counters.clients_left.up();
             return self.bad(StatusCode::BAD_REQUEST, "the client has left\n");
         }
@@ -161,10 +161,7 @@
         let target = head.uri.path_and_query().map_or(platform::PATH, |p| p.as_str()).to_owned();
         let keeps: Option<Rc<dyn Any>> = Some(Rc::new((in_hand, held)));
         let headers = platform::end_to_end(head.headers);
-        let client = ClientConnection::new(Rc::new({
-            let watch = watch.clone();
-            move || watch.has_left()
-        }));
+        let client = client.connection();
         let call = Call { id: intake.id, target, headers, body, client, keeps };
         let (answer, presence) = shared.core.ask(intake.ask, call).answer().await;
         platform::encode(answer, presence)
@@ -172,7 +169,11 @@
 
     /// Reads a body whole, within the bounds of its length and of what all bodies may take. Its time is bounded
     /// by the connection's supervisor.
-    async fn body(&self, mut body: Incoming, watch: &Watch) -> Result<(Bytes, Held), Response<AnswerBody>> {
+    async fn body(
+        &self,
+        mut body: Incoming,
+        client: &ClientSocket,
+    ) -> Result<(Bytes, Held), Response<AnswerBody>> {
         let too_long = || self.bad(StatusCode::PAYLOAD_TOO_LARGE, "body too long\n");
         if body.size_hint().lower() > MOST_BODY as u64 {
             return Err(too_long());
@@ -190,10 +191,10 @@
             }
             whole.extend_from_slice(&data);
         }
-        if watch.has_excess() {
+        if client.has_excess() {
             return Err(self.bad(StatusCode::BAD_REQUEST, "more bytes than the length says\n"));
         }
-        watch.whole();
+        client.request_is_whole();
         Ok((whole.freeze(), held))
     }
 }
@@ -201,7 +202,7 @@
 /// A request whose head has come, and the connection it comes on.
 pub struct Arrival {
     request: Request<Incoming>,
-    watch: Rc<Watch>,
+    client: Rc<ClientSocket>,
     stage: watch::Receiver<Stage>,
 }
 
@@ -232,7 +233,7 @@
 /// The client connections that are open.
 #[derive(Default)]
 pub struct Connections {
-    all: RefCell<BTreeMap<u64, Rc<Watch>>>,
+    all: RefCell<BTreeMap<u64, Rc<ClientSocket>>>,
     next: Cell<u64>,
 }
 
@@ -242,10 +243,10 @@
         self.all.borrow().len()
     }
 
-    fn enter(self: &Rc<Self>, watch: Rc<Watch>) -> Place {
+    fn enter(self: &Rc<Self>, client: Rc<ClientSocket>) -> Place {
         let number = self.next.get();
         self.next.set(number + 1);
-        self.all.borrow_mut().insert(number, watch);
+        self.all.borrow_mut().insert(number, client);
         Place(self.clone(), number)
     }
 
@@ -253,12 +254,12 @@
     /// against clients that connect by the hundred and say nothing, or never all.
     fn make_room(&self, counters: &Counters) -> bool {
         let all = self.all.borrow();
-        let idle = |w: &Watch| match w.standing() {
-            Standing::Idle(since) => Some((0, since)).filter(|_| since.elapsed() >= SETTLED),
-            Standing::Arriving(since) => Some((1, since)).filter(|_| since.elapsed() >= DAWDLES),
-            Standing::InHand => None,
+        let idle = |w: &ClientSocket| match w.phase() {
+            Phase::Idle(since) => Some((0, since)).filter(|_| since.elapsed() >= SETTLED),
+            Phase::Arriving(since) => Some((1, since)).filter(|_| since.elapsed() >= DAWDLES),
+            Phase::InHand => None,
         };
-        let found = all.values().filter(|w| !w.is_unwanted() && !w.is_blocked());
+        let found = all.values().filter(|w| !w.is_evicted() && !w.is_write_blocked());
         let found = found.filter_map(|w| idle(w).map(|since| (since, w))).min_by_key(|(since, _)| *since);
         let found = found.inspect(|(_, w)| w.evict());
         if found.is_some() {
@@ -280,12 +281,12 @@
 /// An answer's body that tells its connection when it is over.
 pub struct Answering {
     body: AnswerBody,
-    watch: Rc<Watch>,
+    client: Rc<ClientSocket>,
 }
 
 impl Drop for Answering {
     fn drop(&mut self) {
-        self.watch.finish();
+        self.client.answered();
     }
 }
 
@@ -385,8 +386,8 @@
     fn admit(&self, stream: TcpStream, service: &BoundedEdge) {
         let counters = self.counters().clone();
         counters.connections_in.up();
-        let watch = Watch::new(Rc::new(stream), self.edge.shared.budget.clone());
-        let place = self.open.enter(watch.clone());
+        let client = ClientSocket::new(Rc::new(stream));
+        let place = self.open.enter(client.clone());
         // Room is made before there is none: clients that keep their connections for good must not leave a burst
         // to those that are refused.
         let crowded = self.open.count() > self.bound * 3 / 4;
@@ -396,7 +397,7 @@
         }
         let answering = Answerer {
             service: service.clone(),
-            watch: watch.clone(),
+            client: client.clone(),
             counters: counters.clone(),
             over,
             stage: self.stage.clone(),
@@ -407,7 +408,7 @@
             let answer = move |request| -> Local<Result<Response<Answering>, Infallible>> {
                 Box::pin(answering.clone().answer(request))
             };
-            serve(hyper::service::service_fn(answer), stage, &watch, &counters, accepted).await;
+            serve(hyper::service::service_fn(answer), stage, &client, &counters, accepted).await;
         });
     }
 }
@@ -419,7 +420,7 @@
 #[derive(Clone)]
 struct Answerer {
     service: BoundedEdge,
-    watch: Rc<Watch>,
+    client: Rc<ClientSocket>,
     counters: Rc<Counters>,
     /// Whether the connection came when there was no room.
     over: bool,
@@ -428,8 +429,8 @@
 
 impl Answerer {
     async fn answer(self, request: Request<Incoming>) -> Result<Response<Answering>, Infallible> {
-        let watch = self.watch.clone();
-        let arrival = Arrival { request, watch: watch.clone(), stage: self.stage.clone() };
+        let client = self.client.clone();
+        let arrival = Arrival { request, client: client.clone(), stage: self.stage.clone() };
         let mut response = if self.over {
             platform::refusal(Some(COME_BACK))
         } else {
@@ -443,13 +444,14 @@
         };
         if self.is_last() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            client.answers_last();
         }
-        Ok(response.map(|body| Answering { body, watch }))
+        Ok(response.map(|body| Answering { body, client }))
     }
 
     /// Whether the connection ends with this answer. A graceful shutdown still refuses what has arrived behind it.
     fn is_last(&self) -> bool {
         let closing = *self.stage.borrow() == Stage::Closing;
-        self.over || self.watch.is_spent() || closing && !self.watch.has_further_request()
+        self.over || self.client.is_spent() || closing && !self.client.has_unread()
     }
 }
--- /dev/null
+++ b/tests/connections.rs
@@ -0,0 +1,116 @@
+//! The life of a client connection: what is read is answered, and what can't be answered is not read.
+
+mod support;
+
+use rstest::rstest;
+use std::io::Write;
+use std::time::Duration;
+use support::request;
+use support::server::*;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use whinhaven::net::server::Stage;
+
+/// How a connection comes to its end between two requests.
+#[derive(Clone, Copy)]
+enum End {
+    Shutdown,
+    Eviction,
+}
+
+async fn ask_health(client: &mut TcpStream) {
+    client.write_all(HEALTH).await.unwrap();
+    assert!(client.read(&mut [0; 256]).await.unwrap() > 0);
+}
+
+/// Guards against a request that is read behind the close of its connection and then dropped: its client may only
+/// send again what was not read. The reset tells it so.
+#[rstest]
+#[case::shutdown(End::Shutdown)]
+#[case::eviction(End::Eviction)]
+#[tokio::test]
+async fn a_request_that_crosses_the_close_of_a_resting_connection_is_not_read(#[case] end: End) {
+    on_one_thread(async {
+        let server = Server::start_with(Options { bound: 1, ..Options::default() }).await.run();
+        let mut client = server.connect().await;
+        ask_health(&mut client).await;
+        let mut other = None;
+        match end {
+            End::Shutdown => server.stage.send(Stage::Closing).unwrap(),
+            End::Eviction => {
+                // Idle for long enough to make room for others.
+                tokio::time::sleep(Duration::from_millis(60)).await;
+                let mut newcomer = server.connect().await;
+                ask_health(&mut newcomer).await;
+                other = Some(newcomer);
+            }
+        }
+        assert_eq!(client.read(&mut [0]).await.unwrap(), 0);
+        client.write_all(request("id-1", "send", "hello").as_bytes()).await.unwrap();
+        drop(other);
+        server.all_closed().await;
+        assert!(was_reset(&client), "the request was read");
+    })
+    .await;
+}
+
+/// Guards against a request that is swallowed together with the one before it, whose answer ends the connection; and
+/// against a reset that overtakes this answer.
+#[tokio::test]
+async fn a_request_behind_one_whose_answer_ends_the_connection_is_not_read() {
+    on_one_thread(async {
+        let server = Server::start_with(Options { bound: 0, ..Options::default() }).await.run();
+        let mut client = server.connect().await;
+        let both = ["id-1", "id-2"].map(|id| request(id, "send", "hello")).concat();
+        client.write_all(both.as_bytes()).await.unwrap();
+        let mut answer = String::new();
+        client.read_to_string(&mut answer).await.unwrap();
+        assert!(answer.starts_with("HTTP/1.1 503") && answer.contains("connection: close"), "{answer}");
+        assert_eq!(answer.matches("HTTP/1.1").count(), 1);
+        server.all_closed().await;
+        assert!(was_reset(&client), "the second request was read");
+    })
+    .await;
+}
+
+/// Guards against a request that is read and closed over, because what stands behind it can't be read.
+#[tokio::test]
+async fn a_request_in_front_of_what_is_no_request_is_answered() {
+    on_one_thread(async {
+        let mut server = Server::start().await.run();
+        let mut client = server.connect().await;
+        client.write_all(request("id-1", "send", "hello").as_bytes()).await.unwrap();
+        let taken = server.taken().await;
+        client.write_all(b"GARBAGE\r\n\r\n").await.unwrap();
+        // The server has every chance to look at what came.
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        taken.answer.refuse(None);
+        let mut answers = String::new();
+        client.read_to_string(&mut answers).await.unwrap();
+        assert!(answers.starts_with("HTTP/1.1 503"), "{answers}");
+        assert!(answers.contains("HTTP/1.1 400"), "{answers}");
+    })
+    .await;
+}
+
+/// What stands between the client's request and its close.
+#[rstest]
+#[case::nothing("")]
+#[case::part_of_a_further_request("POST /v1/chat")]
+#[tokio::test]
+async fn a_close_is_seen_as_soon_as_the_system_knows_of_it(#[case] behind: &str) {
+    on_one_thread(async {
+        // No room to read anything ahead.
+        let mut server = Server::start_with(Options { budget: 16, ..Options::default() }).await.run();
+        let mut client = blocking(server.connect().await);
+        client.write_all(request("id-1", "send", "hello").as_bytes()).unwrap();
+        let taken = server.taken().await;
+        assert!(!taken.call.client.has_left());
+        // In one step: the runtime does not turn between the close and the look.
+        client.write_all(behind.as_bytes()).unwrap();
+        drop(client);
+        assert!(taken.call.client.has_left(), "the close was not seen");
+        assert_eq!(server.left().await, taken.ask.request);
+    })
+    .await;
+}
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -3,20 +3,13 @@
 mod support;
 
 use rstest::rstest;
-use std::cell::RefCell;
-use std::collections::HashSet;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::rc::Rc;
 use std::sync::{Arc, Mutex, mpsc};
+use support::server::{HEALTH, Server};
 use support::*;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
-use whinhaven::core::{Clock, CoreHandle};
-use whinhaven::net::budget::Budget;
-use whinhaven::net::server::{Connections, Edge, Listener, Shared, Stage};
-
-const HEALTH: &[u8] = b"GET /healthz HTTP/1.1\r\nhost: a\r\n\r\n";
+use tokio::net::TcpStream;
+use whinhaven::net::server::Stage;
 
 /// A writer that streams one answer, and waits between its events until it is told to go on.
 fn writer_that_waits(begun: mpsc::Sender<()>) -> (Peer, mpsc::Sender<()>) {
@@ -191,40 +184,6 @@
     assert!(releases.try_iter().any(|line| line.starts_with("DELETE /internal/reservations/id-1")));
 }
 
-/// The server side alone, on a socket of its own.
-struct Server {
-    listener: TcpListener,
-    accepting: Listener,
-    stage: watch::Sender<Stage>,
-}
-
-impl Server {
-    async fn start() -> Server {
-        let (core, _queue) = CoreHandle::channel(Clock::start());
-        let shared = Shared {
-            core,
-            classes: Vec::new(),
-            ready: Box::new(|| true),
-            counters: Rc::default(),
-            budget: Budget::new(1 << 20),
-            ids: RefCell::new(HashSet::new()),
-        };
-        let (stage, stages) = watch::channel(Stage::Open);
-        let accepting = Listener {
-            edge: Edge { shared: Rc::new(shared), tools: None },
-            bound: 64,
-            waiting: 64,
-            stage: stages,
-            open: Rc::new(Connections::default()),
-        };
-        Server { listener: TcpListener::bind("127.0.0.1:0").await.unwrap(), accepting, stage }
-    }
-
-    async fn connect(&self) -> TcpStream {
-        TcpStream::connect(self.listener.local_addr().unwrap()).await.unwrap()
-    }
-}
-
 /// All that a server writes until it closes.
 async fn whole_answer(client: &mut TcpStream) -> String {
     let mut text = Vec::new();
@@ -258,7 +217,7 @@
 #[tokio::test]
 async fn a_request_that_has_arrived_when_a_resting_connection_is_closed_is_answered() {
     let story = async {
-        let Server { listener, accepting, stage } = Server::start().await;
+        let Server { listener, accepting, stage, .. } = Server::start().await;
         let mut client = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
         tokio::task::spawn_local(accepting.accept(listener));
         client.write_all(HEALTH).await.unwrap();
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! Scripted peers on loopback sockets and a conductor between them, for the stories.
 #![allow(dead_code)]
 
+pub mod server;
+
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
--- /dev/null
+++ b/tests/support/server.rs
@@ -0,0 +1,152 @@
+//! The server side alone, in the process of the test: a listener with a core that the test plays itself.
+#![allow(dead_code)]
+
+use std::cell::RefCell;
+use std::collections::HashSet;
+use std::io::{ErrorKind, Read};
+use std::rc::Rc;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, watch};
+use whinhaven::core::{Clock, CoreHandle, Input};
+use whinhaven::exchange::{AnswerHandle, Call};
+use whinhaven::interface::{Ask, RequestId};
+use whinhaven::net::budget::Budget;
+use whinhaven::net::server::{Connections, Edge, Listener, Shared, Stage};
+
+/// A request that asks whether the router is ready.
+pub const HEALTH: &[u8] = b"GET /healthz HTTP/1.1\r\nhost: a\r\n\r\n";
+
+/// What a server is built with.
+pub struct Options {
+    /// Most client connections.
+    pub bound: usize,
+    /// Bytes of bodies that may be held.
+    pub budget: usize,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Options { bound: 64, budget: 1 << 20 }
+    }
+}
+
+/// The server side, on a socket of its own.
+pub struct Server {
+    pub listener: TcpListener,
+    pub accepting: Listener,
+    pub stage: watch::Sender<Stage>,
+    pub open: Rc<Connections>,
+    pub core: mpsc::UnboundedReceiver<Input>,
+}
+
+impl Server {
+    pub async fn start() -> Server {
+        Server::start_with(Options::default()).await
+    }
+
+    pub async fn start_with(options: Options) -> Server {
+        let (handle, core) = CoreHandle::channel(Clock::start());
+        let shared = Shared {
+            core: handle,
+            classes: vec!["explain".into(), "send".into()],
+            ready: Box::new(|| true),
+            counters: Rc::default(),
+            budget: Budget::new(options.budget),
+            ids: RefCell::new(HashSet::new()),
+        };
+        let (stage, stages) = watch::channel(Stage::Open);
+        let open = Rc::new(Connections::default());
+        let accepting = Listener {
+            edge: Edge { shared: Rc::new(shared), tools: None },
+            bound: options.bound,
+            waiting: 64,
+            stage: stages,
+            open: open.clone(),
+        };
+        Server { listener: TcpListener::bind("127.0.0.1:0").await.unwrap(), accepting, stage, open, core }
+    }
+
+    pub async fn connect(&self) -> TcpStream {
+        TcpStream::connect(self.listener.local_addr().unwrap()).await.unwrap()
+    }
+
+    /// Serves from here on.
+    pub fn run(self) -> RunningServer {
+        let Server { listener, accepting, stage, open, core } = self;
+        let address = listener.local_addr().unwrap();
+        tokio::task::spawn_local(accepting.accept(listener));
+        RunningServer { address, stage, open, core }
+    }
+}
+
+/// A server that accepts.
+pub struct RunningServer {
+    pub address: std::net::SocketAddr,
+    pub stage: watch::Sender<Stage>,
+    pub open: Rc<Connections>,
+    pub core: mpsc::UnboundedReceiver<Input>,
+}
+
+/// A request as the core is handed it.
+pub struct Taken {
+    pub ask: Ask,
+    pub call: Rc<Call>,
+    pub answer: AnswerHandle,
+}
+
+impl RunningServer {
+    pub async fn connect(&self) -> TcpStream {
+        TcpStream::connect(self.address).await.unwrap()
+    }
+
+    /// The next request that the core is handed.
+    pub async fn taken(&mut self) -> Taken {
+        loop {
+            if let Input::Ask { ask, call, answer } = self.core.recv().await.unwrap() {
+                return Taken { ask, call, answer };
+            }
+        }
+    }
+
+    /// The next request of which the core is told that its client has left.
+    pub async fn left(&mut self) -> RequestId {
+        loop {
+            if let Input::Left(request) = self.core.recv().await.unwrap() {
+                return request;
+            }
+        }
+    }
+
+    /// Waits until every connection has ended.
+    pub async fn all_closed(&self) {
+        while self.open.count() > 0 {
+            tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+        }
+    }
+}
+
+/// Whether the connection was reset: its last bytes were never read. Behind an end of the stream the system calls that
+/// a broken pipe.
+pub fn was_reset(client: &TcpStream) -> bool {
+    let error = client.take_error().unwrap().map(|e| e.kind());
+    matches!(error, Some(ErrorKind::ConnectionReset | ErrorKind::BrokenPipe))
+}
+
+/// The same socket for blocking calls, in which the runtime does not turn.
+pub fn blocking(client: TcpStream) -> std::net::TcpStream {
+    let client = client.into_std().unwrap();
+    client.set_nonblocking(false).unwrap();
+    client
+}
+
+/// All that has come up to the end of the connection.
+pub fn rest(client: &mut std::net::TcpStream) -> String {
+    let mut text = Vec::new();
+    let _ = client.read_to_end(&mut text);
+    String::from_utf8_lossy(&text).into_owned()
+}
+
+/// Runs a test on one thread.
+pub async fn on_one_thread(test: impl Future<Output = ()>) {
+    tokio::task::LocalSet::new().run_until(test).await;
+}
