End all that has not begun with a request's final answer; look again at the first byte

Cause: nobody owned "this request is over". The driver took the answer in four places and ended attempts in one of them: after a refusal or a failure of the module, an attempt that waited for a release or a connection went on where attempts may not be dropped. The last look at an attempt (`Hosts::may_begin`) asked client, time, window and drain, not whether the request was still open, and it was taken before the request was handed to hyper's task: what came between the two was not seen. Bytes of a request that was given up, waiting in the system's buffer, were still delivered behind the close.

Lines at fault: core/mod.rs `act` (Refuse, Fail), `first`, `guard`; net/client.rs `carry_out`; net/pool.rs `Connection::drop`.

Now the exchange holds one state of the request that its answer, its drop or its client's leave ends; the driver takes an answer in one place, which ends what has not begun; the look is taken in the write itself, before the first byte and each further part; a connection given up before its answer is reset, so that what its worker has not taken never arrives.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -4,7 +4,7 @@
 //! how it went comes back as [`Input`]. Everything runs on one thread and in the order of one queue.
 
 use crate::counters::Counters;
-use crate::exchange::{AnswerHandle, Call, Feed, ServerSide, open};
+use crate::exchange::{AnswerHandle, Call, Feed, RequestState, ServerSide, open};
 use crate::interface::*;
 use crate::policy::Policy;
 use std::cell::Cell;
@@ -49,6 +49,8 @@
 pub struct Attempt {
     /// The request.
     pub request: RequestId,
+    /// Whether it still waits for its final answer: else nothing may begin for it.
+    pub state: RequestState,
     /// The attempt.
     pub attempt: AttemptIndex,
     /// Where it goes.
@@ -223,6 +225,7 @@
     deadline: Micros,
     /// Gone once the final answer is given.
     answer: Option<AnswerHandle>,
+    state: RequestState,
     class_safe: bool,
     attempts: Vec<Slot>,
     releasing: Option<Rc<Releasing>>,
@@ -240,6 +243,16 @@
     fn out(&self) -> bool {
         self.attempts.iter().any(|s| s.outcome.is_none())
     }
+
+    /// Takes the final answer, once. Whoever gives it, what has not begun does not begin any more, also where attempts
+    /// may not be dropped.
+    fn take_answer(&mut self) -> Option<AnswerHandle> {
+        let answer = self.answer.take()?;
+        for slot in self.attempts.iter_mut().filter(|slot| !slot.begun.get()) {
+            slot.cancel = None;
+        }
+        Some(answer)
+    }
 }
 
 #[derive(PartialEq, Eq, PartialOrd, Ord)]
@@ -325,11 +338,8 @@
                 let Some(open) = self.open.get_mut(&request) else { return };
                 self.counters.clients_left.up();
                 // Nobody is there to hear it; the handle's own failure goes nowhere.
-                open.answer = None;
-                // What has not begun does not begin for nobody, also where attempts may not be dropped.
-                for slot in open.attempts.iter_mut().filter(|s| s.streaming || !s.begun.get()) {
-                    slot.cancel = None;
-                }
+                drop(open.take_answer());
+                open.attempts.iter_mut().filter(|slot| slot.streaming).for_each(|slot| slot.cancel = None);
                 self.handle(Event::Left { request });
                 self.forget(request);
             }
@@ -358,8 +368,15 @@
         let class_safe = class.is_some_and(|c| matches!(c.effect, Effect::Safe | Effect::Keyed(Group::All)));
         let (request, deadline) = (ask.request, ask.deadline);
         log::debug!("request {}: {ask:?}", call.id);
-        let open =
-            Open { call, deadline, answer: Some(answer), class_safe, attempts: Vec::new(), releasing: None };
+        let open = Open {
+            call,
+            deadline,
+            state: answer.request(),
+            answer: Some(answer),
+            class_safe,
+            attempts: Vec::new(),
+            releasing: None,
+        };
         self.open.insert(request, open);
         self.due.push(Reverse((deadline + self.settings.answer_slack, Due::Guard(request))));
         // Guards stand until their deadline, minutes away if the client says so, though most requests end long
@@ -376,10 +393,15 @@
     fn first(&mut self, request: RequestId, attempt: AttemptIndex, feed: Feed) {
         let Some(open) = self.open.get_mut(&request) else { return };
         let Some(slot) = open.attempts.get_mut(attempt.0 as usize) else { return };
+        slot.begun.set(true);
         // An answer already given stands: the feed is dropped, and with it the attempt.
-        let Some(answer) = open.answer.take() else { return };
+        if open.answer.is_none() {
+            return;
+        }
         slot.streaming = true;
-        let elapsed = self.clock.now().saturating_sub(slot.sent);
+        let sent = slot.sent;
+        let Some(answer) = open.take_answer() else { return };
+        let elapsed = self.clock.now().saturating_sub(sent);
         log::debug!("request {}: attempt {} streams after {elapsed} us", open.call.id, attempt.0);
         self.counters.answered_stream.up();
         if let Some(releasing) = open.releasing.take() {
@@ -431,7 +453,7 @@
     /// same, a refusal only if nothing can have run.
     fn guard(&mut self, request: RequestId) {
         let Some(open) = self.open.get_mut(&request) else { return };
-        let Some(answer) = open.answer.take() else { return };
+        let Some(answer) = open.take_answer() else { return };
         log::warn!("request {}: no decision by its deadline, ended by the driver", open.call.id);
         let harmless =
             open.class_safe || open.attempts.iter().all(|s| s.outcome.is_some_and(Outcome::never_ran));
@@ -480,14 +502,14 @@
                 self.send(request, worker, timeout, begin_before);
             }
             Action::Refuse { request, retry_after } => {
-                if let Some(answer) = self.open.get_mut(&request).and_then(|o| o.answer.take()) {
+                if let Some(answer) = self.open.get_mut(&request).and_then(Open::take_answer) {
                     self.counters.answered_refused.up();
                     answer.refuse(retry_after);
                     self.ended.push(request);
                 }
             }
             Action::Fail { request } => {
-                if let Some(answer) = self.open.get_mut(&request).and_then(|o| o.answer.take()) {
+                if let Some(answer) = self.open.get_mut(&request).and_then(Open::take_answer) {
                     self.counters.answered_failed.up();
                     answer.fail();
                     self.ended.push(request);
@@ -551,6 +573,7 @@
         let after = open.releasing.take();
         self.outbound.send(Attempt {
             request,
+            state: open.state.clone(),
             attempt,
             worker,
             call,
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -54,6 +54,28 @@
     }
 }
 
+/// Whether a request still waits for its final answer, for all that act for it. It ends in the moment in which an answer
+/// is given, by whomever, or its client is known to have left.
+#[derive(Clone, Debug)]
+pub struct RequestState(Rc<Cell<bool>>);
+
+impl RequestState {
+    /// Whether there is no final answer yet.
+    pub fn is_open(&self) -> bool {
+        self.0.get()
+    }
+
+    fn end(&self) {
+        self.0.set(false);
+    }
+}
+
+impl Default for RequestState {
+    fn default() -> Self {
+        RequestState(Rc::new(Cell::new(true)))
+    }
+}
+
 /// The final answer, or the beginning of one.
 #[derive(Debug)]
 pub enum Answer {
@@ -141,9 +163,17 @@
 
 /// Gives the final answer. Every way of giving one consumes it.
 #[derive(Debug)]
-pub struct AnswerHandle(Option<oneshot::Sender<Answer>>);
+pub struct AnswerHandle {
+    answer: Option<oneshot::Sender<Answer>>,
+    request: RequestState,
+}
 
 impl AnswerHandle {
+    /// Whether the request still waits for this handle's use.
+    pub fn request(&self) -> RequestState {
+        self.request.clone()
+    }
+
     /// Refuses: trying again is harmless.
     pub fn refuse(self, retry_after: Option<Micros>) {
         self.give(Answer::Refused { retry_after });
@@ -160,32 +190,38 @@
     }
 
     fn give(mut self, answer: Answer) -> bool {
-        self.0.take().is_some_and(|tx| tx.send(answer).is_ok())
+        self.request.end();
+        self.answer.take().is_some_and(|tx| tx.send(answer).is_ok())
     }
 }
 
 impl Drop for AnswerHandle {
     fn drop(&mut self) {
+        self.request.end();
         // Whoever held it has gone wrong (a panic, say): the client hears of a failure, not of nothing.
-        if let Some(tx) = self.0.take() {
+        if let Some(tx) = self.answer.take() {
             let _ = tx.send(Answer::Failed);
         }
     }
 }
 
 /// Tells the core, when dropped before [`Presence::finished`], that the client has left.
-pub struct Presence(Option<Rc<dyn Fn()>>);
+pub struct Presence {
+    left: Option<Rc<dyn Fn()>>,
+    request: RequestState,
+}
 
 impl Presence {
     /// The client has its whole answer.
     pub fn finished(&mut self) {
-        self.0 = None;
+        self.left = None;
     }
 }
 
 impl Drop for Presence {
     fn drop(&mut self) {
-        if let Some(left) = self.0.take() {
+        if let Some(left) = self.left.take() {
+            self.request.end();
             left();
         }
     }
@@ -211,7 +247,9 @@
 /// Opens an exchange; `left` is called if the client leaves early.
 pub fn open(left: Rc<dyn Fn()>) -> (ServerSide, AnswerHandle) {
     let (tx, answer) = oneshot::channel();
-    (ServerSide { answer, presence: Presence(Some(left)) }, AnswerHandle(Some(tx)))
+    let request = RequestState::default();
+    let presence = Presence { left: Some(left), request: request.clone() };
+    (ServerSide { answer, presence }, AnswerHandle { answer: Some(tx), request })
 }
 
 #[cfg(test)]
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -2,11 +2,11 @@
 
 use super::discovery::Directory;
 use super::events::{Events, Part};
-use super::pool::{ConnectError, Connection, Pool, Target};
+use super::pool::{ConnectError, Connection, Pool, Target, WriteGuard};
 use super::{Local, is_plain_id};
 use crate::core::{Attempt, Clock, CoreHandle, Input, Outbound, Releasing};
 use crate::counters::Counters;
-use crate::exchange::{Call, FeedSource, Frame, Reply, feed};
+use crate::exchange::{Call, ClientConnection, FeedSource, Frame, Reply, RequestState, feed};
 use crate::interface::{AttemptIndex, Micros, Outcome, Report, Reports, RequestId, WorkerId};
 use crate::wire::read_report;
 use bytes::Bytes;
@@ -159,20 +159,14 @@
                 return Outcome::NoConnection.into();
             }
         };
-        let now = clock.now();
-        if let Err(outcome) = self.may_begin(attempt, now) {
-            self.counters.held_back.up();
-            return outcome.into();
-        }
-        let left = attempt.until.saturating_sub(now);
+        let left = attempt.until.saturating_sub(clock.now());
         let Some(request) = passed_on(&attempt.call, left) else { return Outcome::NotSent.into() };
-        self.counters.sent.up();
-        attempt.begun.set(true);
+        let guard = self.write_guard(attempt);
         let meter = connection.meter();
         // What never left whole has never run.
         let cut_off = |outcome: Outcome| if meter.complete() { outcome } else { Outcome::NoConnection };
         let answering = async {
-            let response = connection.send(request, attempt.call.body.len()).await?;
+            let response = connection.send_guarded(request, attempt.call.body.len(), guard).await?;
             Answered::read(response).await
         };
         let answered = tokio::select! {
@@ -185,6 +179,10 @@
             }
         };
         match answered {
+            Err(_) if meter.held_back().is_some() => {
+                self.counters.held_back.up();
+                meter.held_back().unwrap_or(Outcome::NotSent).into()
+            }
             Err(error) => {
                 log::info!("request {}: {} broke off: {error}", attempt.call.id, attempt.worker.0);
                 self.pool.broke(&connection);
@@ -212,17 +210,24 @@
     /// # Errors
     /// The outcome of an attempt that may not.
     pub fn may_begin(&self, attempt: &Attempt, now: Micros) -> Result<(), Outcome> {
-        if attempt.call.client.has_left() {
-            return Err(Outcome::Dropped);
-        }
-        if now >= attempt.until {
-            return Err(Outcome::NoConnection);
-        }
-        let too_late = attempt.begin_before.is_some_and(|end| now >= end);
-        if too_late || !self.directory.is_ready(&attempt.worker) {
-            return Err(Outcome::NotSent);
-        }
-        Ok(())
+        SendConditions::of(attempt, &self.directory).check(now)
+    }
+
+    /// The look at an attempt before its first byte and before each further part, should the host take them one by one.
+    /// A host begins with the last byte.
+    fn write_guard(&self, attempt: &Attempt) -> WriteGuard {
+        let conditions = SendConditions::of(attempt, &self.directory);
+        let (clock, counters, begun) = (self.core.clock, self.counters.clone(), attempt.begun.clone());
+        Box::new(move || {
+            conditions.check(clock.now()).map_err(|outcome| {
+                // What has begun and never came whole has never run.
+                if begun.get() { Outcome::NoConnection } else { outcome }
+            })?;
+            if !begun.replace(true) {
+                counters.sent.up();
+            }
+            Ok(())
+        })
     }
 
     /// Passes a stream on: its events as they come, unchanged, no deadline, until one side ends it.
@@ -355,6 +360,43 @@
     }
 }
 
+/// What has to hold while a request is written.
+struct SendConditions {
+    state: RequestState,
+    client: ClientConnection,
+    until: Micros,
+    begin_before: Option<Micros>,
+    worker: WorkerId,
+    directory: Rc<Directory>,
+}
+
+impl SendConditions {
+    fn of(attempt: &Attempt, directory: &Rc<Directory>) -> Self {
+        SendConditions {
+            state: attempt.state.clone(),
+            client: attempt.call.client.clone(),
+            until: attempt.until,
+            begin_before: attempt.begin_before,
+            worker: attempt.worker.clone(),
+            directory: directory.clone(),
+        }
+    }
+
+    fn check(&self, now: Micros) -> Result<(), Outcome> {
+        if !self.state.is_open() || self.client.has_left() {
+            return Err(Outcome::Dropped);
+        }
+        if now >= self.until {
+            return Err(Outcome::NoConnection);
+        }
+        let too_late = self.begin_before.is_some_and(|end| now >= end);
+        if too_late || !self.directory.is_ready(&self.worker) {
+            return Err(Outcome::NotSent);
+        }
+        Ok(())
+    }
+}
+
 /// The request as model hosts want it.
 fn passed_on(call: &Call, left: u64) -> Option<Request<Full<Bytes>>> {
     let mut request = Request::post(&call.target).body(Full::new(call.body.clone())).ok()?;
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -6,7 +6,7 @@
 use super::Local;
 use super::socket::Socket;
 use crate::counters::Counters;
-use crate::interface::WorkerId;
+use crate::interface::{Outcome, WorkerId};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -39,26 +39,47 @@
 /// How long no connection is kept after a kept one was found dead.
 const DISTRUST: Duration = Duration::from_secs(60);
 
-/// How much of a request was written, seen at the socket.
-#[derive(Debug, Default)]
+/// Asked before bytes of a request are written; the outcome of an attempt that may not go on.
+pub type WriteGuard = Box<dyn Fn() -> Result<(), Outcome>>;
+
+/// How much of a request was written, seen at the socket, and whether more of it may be.
+#[derive(Default)]
 pub struct Meter {
     /// Bytes of the current head that match the blank line that ends it; 4 once it has passed.
     matched: Cell<u8>,
     /// Bytes of the body still to be written.
     left: Cell<usize>,
-    written: Cell<u64>,
+    guard: RefCell<Option<WriteGuard>>,
+    held_back: Cell<Option<Outcome>>,
 }
 
 impl Meter {
     /// A request with a body of this length is about to be written.
-    fn begin(&self, body: usize) {
+    fn begin(&self, body: usize, guard: WriteGuard) {
         self.matched.set(0);
         self.left.set(body);
+        self.guard.replace(Some(guard));
+    }
+
+    /// The last look before bytes of the request are written: nothing is waited for between the two.
+    fn check(&self) -> io::Result<()> {
+        let checked = match &*self.guard.borrow() {
+            Some(guard) if !self.complete() => guard(),
+            _ => Ok(()),
+        };
+        checked.map_err(|outcome| {
+            self.held_back.set(Some(outcome));
+            io::Error::other("held back")
+        })
+    }
+
+    /// Why the request was held back, if it was.
+    pub fn held_back(&self) -> Option<Outcome> {
+        self.held_back.get()
     }
 
     /// Counts bytes that the socket took.
     fn count(&self, mut bytes: &[u8]) {
-        self.written.set(self.written.get() + bytes.len() as u64);
         while self.matched.get() < 4 {
             let Some((byte, rest)) = bytes.split_first() else { return };
             bytes = rest;
@@ -103,6 +124,7 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.meter.check()?;
         let written = ready!(Pin::new(&mut self.socket).poll_write_vectored(cx, bufs))?;
         let mut left = written;
         for buf in bufs {
@@ -135,12 +157,18 @@
     driver: tokio::task::AbortHandle,
     /// Whether it has carried a request before the one at hand.
     reused: bool,
+    /// Whether nothing has come yet of the answer to the request at hand.
+    awaits_answer: bool,
     sent: Instant,
     _permit: OwnedSemaphorePermit,
 }
 
 impl Drop for Connection {
     fn drop(&mut self) {
+        if self.awaits_answer {
+            // The request is given up: what of it waits in the system must not arrive any more.
+            let _ = SockRef::from(&*self.stream).set_linger(Some(Duration::ZERO));
+        }
         self.driver.abort();
     }
 }
@@ -157,9 +185,22 @@
         request: Request<Full<Bytes>>,
         body: usize,
     ) -> hyper::Result<Response<Incoming>> {
-        self.meter.begin(body);
+        self.send_guarded(request, body, Box::new(|| Ok(()))).await
+    }
+
+    /// The same, as far as the guard lets it be written.
+    pub async fn send_guarded(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        body: usize,
+        guard: WriteGuard,
+    ) -> hyper::Result<Response<Incoming>> {
+        self.meter.begin(body, guard);
         self.sent = Instant::now();
-        self.sender.send_request(request).await
+        self.awaits_answer = true;
+        let answered = self.sender.send_request(request).await;
+        self.awaits_answer = false;
+        answered
     }
 
     /// Whether it can take a request. Bytes that wait belong to no request of ours: a host that sends a second answer
@@ -347,6 +388,7 @@
             meter,
             driver: driver.abort_handle(),
             reused: false,
+            awaits_answer: false,
             sent: Instant::now(),
             _permit: permit,
         })
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -2,20 +2,23 @@
 
 mod support;
 
+use bytes::Bytes;
 use rstest::rstest;
 use socket2::{Domain, SockRef, Socket, Type};
 use std::cell::Cell;
 use std::collections::HashSet;
-use std::io::Write;
+use std::future::poll_fn;
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::sync::{Mutex, mpsc};
+use std::task::Poll;
 use std::time::Duration;
 use support::{Conn, Message, Peer};
 use tokio::sync::{mpsc as inputs, oneshot};
 use whinhaven::core::{Attempt, Clock, CoreHandle, Input, Outbound, Releasing};
 use whinhaven::counters::Counters;
-use whinhaven::exchange::{Call, ClientConnection};
+use whinhaven::exchange::{Call, ClientConnection, RequestState, open};
 use whinhaven::interface::*;
 use whinhaven::net::client::Hosts;
 use whinhaven::net::discovery::{Directory, Listing};
@@ -23,6 +26,8 @@
 
 const SECOND: Micros = 1_000_000;
 const WORKER: &str = "a";
+/// Turns of the runtime in which all has come about that can.
+const MANY_TURNS: usize = 100_000;
 
 /// The client side with the workers it is told of.
 struct Client {
@@ -67,6 +72,7 @@
         self.cancel = Some(cancel);
         Attempt {
             request: RequestId(1),
+            state: RequestState::default(),
             attempt: AttemptIndex(0),
             worker: WorkerId(worker.into()),
             call: Rc::new(call(id)),
@@ -80,6 +86,11 @@
 
     async fn outcome(&mut self, attempt: Attempt) -> Outcome {
         self.hosts.send(attempt);
+        self.ended().await
+    }
+
+    /// How the attempt that is out ends.
+    async fn ended(&mut self) -> Outcome {
         loop {
             if let Input::Ended { outcome, .. } = self.inputs.recv().await.unwrap() {
                 return outcome;
@@ -139,6 +150,19 @@
     }
 }
 
+/// Waits until each other task that can run has run once.
+async fn next_turn() {
+    let mut waited = false;
+    poll_fn(|cx| {
+        if std::mem::replace(&mut waited, true) {
+            return Poll::Ready(());
+        }
+        cx.waker().wake_by_ref();
+        Poll::Pending
+    })
+    .await;
+}
+
 async fn story(story: impl Future<Output = ()>) {
     tokio::task::LocalSet::new().run_until(story).await;
 }
@@ -147,6 +171,7 @@
 #[derive(Clone, Copy, Debug)]
 enum Meanwhile {
     Nothing,
+    ItsRequestWasAnswered,
     TheClientLeft,
     ItsTimePassed,
     TheRepeatWindowEnded,
@@ -156,6 +181,7 @@
 /// Guards against a send that was right when it was decided.
 #[rstest]
 #[case(Meanwhile::Nothing, Outcome::Read)]
+#[case(Meanwhile::ItsRequestWasAnswered, Outcome::Dropped)]
 #[case(Meanwhile::TheClientLeft, Outcome::Dropped)]
 #[case(Meanwhile::TheRepeatWindowEnded, Outcome::NotSent)]
 #[case(Meanwhile::TheWorkerDrains, Outcome::NotSent)]
@@ -173,6 +199,11 @@
                 let left = ClientConnection::new(Rc::new(|| true));
                 attempt.call = Rc::new(Call { client: left, ..call("id-1") });
             }
+            Meanwhile::ItsRequestWasAnswered => {
+                let (_server, answer) = open(Rc::new(|| {}));
+                attempt.state = answer.request();
+                answer.refuse(None);
+            }
             Meanwhile::TheRepeatWindowEnded => attempt.begin_before = Some(client.now()),
             Meanwhile::TheWorkerDrains => {
                 let text = format!(
@@ -212,6 +243,101 @@
     assert_eq!(client.hosts.may_begin(&attempt, now), wanted);
 }
 
+/// Guards against what happens between the last look at an attempt and its first byte: other tasks take as long as they
+/// take.
+#[tokio::test]
+async fn nothing_runs_between_the_last_look_at_an_attempt_and_its_first_byte() {
+    story(async {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let mut client = Client::start(&[(WORKER, listener.local_addr().unwrap())], 4);
+        let looked = Rc::<Cell<bool>>::default();
+        let mut attempt = client.attempt(WORKER, "id-1");
+        let look = looked.clone();
+        let there = ClientConnection::new(Rc::new(move || {
+            look.set(true);
+            false
+        }));
+        attempt.call = Rc::new(Call { client: there, ..call("id-1") });
+        client.hosts.send(attempt);
+        // Has its turn between any two others.
+        let watch = async move {
+            for _ in 0..MANY_TURNS {
+                if looked.get() {
+                    break;
+                }
+                next_turn().await;
+            }
+            let (peer, _) = listener.accept().unwrap();
+            peer.set_nonblocking(true).unwrap();
+            peer.peek(&mut [0])
+        };
+        let arrived = tokio::task::spawn_local(watch).await.unwrap();
+        assert!(arrived.is_ok_and(|bytes| bytes > 0), "nothing was written yet");
+    })
+    .await;
+}
+
+/// A worker whose system takes no more than a few bytes until they are read.
+struct SlowWorker {
+    listener: TcpListener,
+    body: Bytes,
+}
+
+impl SlowWorker {
+    fn start() -> SlowWorker {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        socket.set_recv_buffer_size(4 * 1024).unwrap();
+        socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
+        socket.listen(8).unwrap();
+        SlowWorker { listener: socket.into(), body: vec![b'x'; 256 * 1024].into() }
+    }
+
+    /// All that reaches it after the connection was given up.
+    fn received(&self) -> usize {
+        let (mut connection, _) = self.listener.accept().unwrap();
+        let mut bytes = Vec::new();
+        let _ = connection.read_to_end(&mut bytes);
+        bytes.len()
+    }
+}
+
+/// Guards against a request that reaches its worker after it was given up: bytes that wait in the system are delivered
+/// later, also behind a close, and a worker begins with the last of them.
+#[rstest]
+#[case::its_client_left(None, Outcome::Dropped)]
+#[case::its_time_passed(Some(SECOND / 4), Outcome::NoAnswer)]
+#[tokio::test]
+async fn what_a_worker_has_not_taken_of_a_given_up_request_never_reaches_it(
+    #[case] time: Option<Micros>,
+    #[case] wanted: Outcome,
+) {
+    story(async {
+        let worker = SlowWorker::start();
+        let mut client = Client::start(&[(WORKER, worker.listener.local_addr().unwrap())], 4);
+        let mut attempt = client.attempt(WORKER, "id-1");
+        attempt.call = Rc::new(Call { body: worker.body.clone(), ..call("id-1") });
+        attempt.until = client.now() + time.unwrap_or(10 * SECOND);
+        let begun = attempt.begun.clone();
+        client.hosts.send(attempt);
+        for _ in 0..MANY_TURNS {
+            if begun.get() {
+                break;
+            }
+            tokio::task::yield_now().await;
+        }
+        if time.is_none() {
+            client.cancel = None;
+        }
+        assert_eq!(client.ended().await, wanted);
+        while client.hosts.pool.free_sockets() < 4 {
+            tokio::task::yield_now().await;
+        }
+        let received = worker.received();
+        assert!(received < worker.body.len(), "{received} bytes came");
+    })
+    .await;
+}
+
 /// Guards against a deadline told as it was before a wait.
 #[tokio::test]
 async fn a_worker_is_told_what_is_left_after_the_wait_for_a_release() {
@@ -291,12 +417,7 @@
             tokio::time::sleep(Duration::from_millis(1)).await;
         }
         client.cancel = None;
-        loop {
-            if let Input::Ended { outcome, .. } = client.inputs.recv().await.unwrap() {
-                assert_eq!(outcome, Outcome::Dropped);
-                break;
-            }
-        }
+        assert_eq!(client.ended().await, Outcome::Dropped);
         assert!(!begun.get() && client.hosts.pool.free_sockets() == 1);
     })
     .await;
@@ -356,12 +477,7 @@
             client.hosts.pool.clear();
             client.hosts.pool.hang_up(&WorkerId(WORKER.into()));
             go.send(()).unwrap();
-            loop {
-                if let Input::Ended { outcome, .. } = client.inputs.recv().await.unwrap() {
-                    assert_eq!(outcome, Outcome::Read);
-                    break;
-                }
-            }
+            assert_eq!(client.ended().await, Outcome::Read);
         }
         assert_eq!(told.try_iter().count(), 2);
     })
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use tokio::sync::oneshot::error::TryRecvError;
 use whinhaven::core::{Attempt, Clock, Core, CoreHandle, Input, Outbound, Releasing};
-use whinhaven::exchange::Call;
+use whinhaven::exchange::{Answer, Call, ServerSide};
 use whinhaven::interface::*;
 
 #[derive(Default)]
@@ -24,15 +24,9 @@
     fn fetch_list(&self) {}
 }
 
-/// Guards against an attempt that begins after its client has left, from a connection that comes up late, say: also
-/// where attempts may not be dropped. What has begun there goes on.
-#[rstest]
-#[case::that_has_not_begun_ends(false, TryRecvError::Closed)]
-#[case::that_has_begun_goes_on(true, TryRecvError::Empty)]
-#[tokio::test]
-async fn when_the_client_leaves_an_attempt(#[case] begun: bool, #[case] wanted: TryRecvError) {
+fn settings() -> Settings {
     let kind = |name: &str, role| Kind { name: name.into(), role, memory_tokens: None };
-    let settings = Settings {
+    Settings {
         routers: 1,
         kinds: vec![kind("r", Role::Reader), kind("w", Role::Writer)],
         classes: vec![Class { name: "safe".into(), aim: 1_000_000, ..Class::default() }],
@@ -41,23 +35,50 @@
         release: 500_000,
         may_drop: false,
         ..Settings::default()
-    };
-    let (notes, clock) = (Rc::new(Notes::default()), Clock::start());
-    let (handle, queue) = CoreHandle::channel(clock);
-    let core = Core::new(settings, 1, clock, notes.clone(), Rc::default());
-    let entries = ["r", "w"].map(|kind| Entry {
-        worker: WorkerId(kind.into()),
-        zone: String::new(),
-        kind: kind.into(),
-        cell: 0,
-        status: Status::Ready,
-        weight: 1.0,
-        started: None,
-    });
-    handle.tell(Input::List { kind: ListKind::Saved, entries: entries.to_vec() });
-    let ask = Ask {
+    }
+}
+
+/// A driver with a request of which an attempt is out.
+struct Driver {
+    notes: Rc<Notes>,
+    client: ServerSide,
+    /// The driver runs for as long as there is one.
+    _handle: CoreHandle,
+}
+
+impl Driver {
+    async fn start(settings: Settings, time: Micros) -> Driver {
+        let (notes, clock) = (Rc::new(Notes::default()), Clock::start());
+        let (handle, queue) = CoreHandle::channel(clock);
+        let core = Core::new(settings, 1, clock, notes.clone(), Rc::default());
+        let entries = ["r", "w"].map(|kind| Entry {
+            worker: WorkerId(kind.into()),
+            zone: String::new(),
+            kind: kind.into(),
+            cell: 0,
+            status: Status::Ready,
+            weight: 1.0,
+            started: None,
+        });
+        handle.tell(Input::List { kind: ListKind::Saved, entries: entries.to_vec() });
+        tokio::task::spawn_local(core.run(queue));
+        let client = handle.ask(ask(clock.now() + time), call());
+        while notes.attempts.borrow().is_empty() {
+            tokio::task::yield_now().await;
+        }
+        Driver { notes, client, _handle: handle }
+    }
+
+    /// What the attempt that is out was told.
+    fn cancelled(&self) -> TryRecvError {
+        self.notes.attempts.borrow_mut()[0].cancelled.try_recv().unwrap_err()
+    }
+}
+
+fn ask(deadline: Micros) -> Ask {
+    Ask {
         request: RequestId(0),
-        deadline: clock.now() + 600_000_000,
+        deadline,
         session: None,
         prefix: None,
         prefix_tokens: 0,
@@ -66,32 +87,64 @@
         hint: None,
         class: "safe".into(),
         tenant: None,
-    };
+    }
+}
+
+fn call() -> Call {
+    Call {
+        id: "id-1".into(),
+        target: String::new(),
+        headers: Default::default(),
+        body: "".into(),
+        client: Default::default(),
+        keeps: None,
+    }
+}
+
+/// One thread: by then the driver has taken in all that it was told.
+async fn settle() {
+    for _ in 0..100 {
+        tokio::task::yield_now().await;
+    }
+}
+
+/// Guards against an attempt that begins after its client has left, from a connection that comes up late, say: also
+/// where attempts may not be dropped. What has begun there goes on.
+#[rstest]
+#[case::that_has_not_begun_ends(false, TryRecvError::Closed)]
+#[case::that_has_begun_goes_on(true, TryRecvError::Empty)]
+#[tokio::test]
+async fn when_the_client_leaves_an_attempt(#[case] begun: bool, #[case] wanted: TryRecvError) {
     let story = async {
-        tokio::task::spawn_local(core.run(queue));
-        let (id, target) = ("id-1".into(), String::new());
-        let client = handle.ask(
-            ask,
-            Call {
-                id,
-                target,
-                headers: Default::default(),
-                body: "".into(),
-                client: Default::default(),
-                keeps: None,
-            },
-        );
-        while notes.attempts.borrow().is_empty() {
-            tokio::task::yield_now().await;
-        }
+        let driver = Driver::start(settings(), 600_000_000).await;
+        let Driver { notes, client, _handle } = driver;
         notes.attempts.borrow()[0].begun.set(begun);
         drop(client);
-        // One thread: by then the driver has taken in all that it was told.
-        for _ in 0..100 {
-            tokio::task::yield_now().await;
-        }
+        settle().await;
         assert_eq!(notes.attempts.borrow_mut()[0].cancelled.try_recv(), Err(wanted));
+        assert!(!notes.attempts.borrow()[0].state.is_open());
         assert_eq!(notes.attempts.borrow().len(), 1);
     };
     tokio::task::LocalSet::new().run_until(story).await;
 }
+
+/// Guards against an attempt that begins for a request that has its final answer: by the module, or by the driver's own
+/// guard where the module decides too late.
+#[rstest]
+#[case::of_the_module(60_000_000)]
+#[case::of_the_guard(0)]
+#[tokio::test(start_paused = true)]
+async fn the_final_answer_ends_an_attempt_that_has_not_begun(#[case] answer_slack: Micros) {
+    let story = async {
+        let driver = Driver::start(Settings { answer_slack, ..settings() }, 1_000_000).await;
+        assert_eq!(driver.cancelled(), TryRecvError::Empty);
+        let state = driver.notes.attempts.borrow()[0].state.clone();
+        assert!(state.is_open());
+        let Driver { notes, client, _handle } = driver;
+        assert!(matches!(client.answer().await.0, Answer::Refused { .. }));
+        assert!(!state.is_open());
+        settle().await;
+        assert_eq!(notes.attempts.borrow_mut()[0].cancelled.try_recv(), Err(TryRecvError::Closed));
+    };
+    tokio::task::LocalSet::new().run_until(story).await;
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -118,11 +118,14 @@
         let _ = self.0.write_all(b"0\r\n\r\n");
     }
 
-    /// Whether the other side closes: blocks until it does or says something.
+    /// Whether the other side closes, in order or by a reset: blocks until it does or says something more than a byte.
     pub fn is_closed(&mut self) -> bool {
         let _ = self.0.set_read_timeout(Some(STUCK));
-        matches!(self.0.read(&mut [0]), Ok(0))
-            || matches!(self.0.read(&mut [0]), Err(e) if e.kind() == std::io::ErrorKind::ConnectionReset)
+        let mut ends = || match self.0.read(&mut [0]) {
+            Ok(bytes) => bytes == 0,
+            Err(error) => error.kind() == std::io::ErrorKind::ConnectionReset,
+        };
+        ends() || ends()
     }
 }
 
