End the request, not the connection, when a client leaves; it hears its final answer

Cause: a client's leaving was told to the core only by dropping the connection's future. A client that had ended its sending behind a whole request and still listened heard nothing: read, and closed with no answer. The requests of a JSON-RPC batch run in tasks of their own and went on for nobody, also in the middle of a stream, and no request of that front knew of its client's connection.

Lines at fault: net/connection.rs `run` (ClientLeft in hand), core/mod.rs `Input::Left` (answer dropped), front/jsonrpc.rs `begin` (`ClientConnection::default()`) and `Sink::gone`.

Now whoever waits for the answer watches the client too; the core is told and answers: a refusal where nothing can have run, else a failure, with `Connection: close`. Nothing more is begun. In the middle of a stream a close still ends the connection: there the answer has been given.

With the former sources these tests fail: connections `a_client_that_closes_its_sending_side...`, conductor `a_client_that_ends_its_sending...` (both cases), tools `a_client_that_leaves...` (both batches; the single one held).

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -334,15 +334,7 @@
     fn input(&mut self, input: Input) {
         match input {
             Input::Ask { ask, call, answer } => self.ask(ask, call, answer),
-            Input::Left(request) => {
-                let Some(open) = self.open.get_mut(&request) else { return };
-                self.counters.clients_left.up();
-                // Nobody is there to hear it; the handle's own failure goes nowhere.
-                drop(open.take_answer());
-                open.attempts.iter_mut().filter(|slot| slot.streaming).for_each(|slot| slot.cancel = None);
-                self.handle(Event::Left { request });
-                self.forget(request);
-            }
+            Input::Left(request) => self.left(request),
             Input::First { request, attempt, feed } => self.first(request, attempt, feed),
             Input::Ended { request, attempt, outcome, kept, report } => {
                 self.ended(request, attempt, outcome, kept, report);
@@ -390,6 +382,16 @@
         self.handle(Event::Ask(ask));
     }
 
+    /// The client has left, or has ended its sending and may still hear the answer.
+    fn left(&mut self, request: RequestId) {
+        let Some(open) = self.open.get_mut(&request) else { return };
+        self.counters.clients_left.up();
+        open.attempts.iter_mut().filter(|slot| slot.streaming).for_each(|slot| slot.cancel = None);
+        self.answer_itself(request);
+        self.handle(Event::Left { request });
+        self.forget(request);
+    }
+
     fn first(&mut self, request: RequestId, attempt: AttemptIndex, feed: Feed) {
         let Some(open) = self.open.get_mut(&request) else { return };
         let Some(slot) = open.attempts.get_mut(attempt.0 as usize) else { return };
@@ -449,14 +451,23 @@
         self.forget(request);
     }
 
-    /// Guards against a module that has lost a request (after a panic, say): the client gets an answer all the
-    /// same, a refusal only if nothing can have run.
+    /// Guards against a module that has lost a request (after a panic, say): the client gets an answer all the same.
     fn guard(&mut self, request: RequestId) {
+        let Some(open) = self.open.get_mut(&request).filter(|open| open.answer.is_some()) else { return };
+        log::warn!("request {}: no decision by its deadline, ended by the driver", open.call.id);
+        open.attempts.iter_mut().for_each(|slot| slot.cancel = None);
+        self.outbound.release(open.call.clone(), Rc::default());
+        self.answer_itself(request);
+        self.handle(Event::Left { request });
+        self.forget(request);
+    }
+
+    /// Gives the final answer, if there is none yet, without the module: a refusal only if nothing can have run.
+    fn answer_itself(&mut self, request: RequestId) {
         let Some(open) = self.open.get_mut(&request) else { return };
         let Some(answer) = open.take_answer() else { return };
-        log::warn!("request {}: no decision by its deadline, ended by the driver", open.call.id);
         let harmless =
-            open.class_safe || open.attempts.iter().all(|s| s.outcome.is_some_and(Outcome::never_ran));
+            open.class_safe || open.attempts.iter().all(|slot| slot.outcome.is_some_and(Outcome::never_ran));
         if harmless {
             self.counters.answered_refused.up();
             answer.refuse(None);
@@ -464,10 +475,6 @@
             self.counters.answered_failed.up();
             answer.fail();
         }
-        open.attempts.iter_mut().for_each(|s| s.cancel = None);
-        self.outbound.release(open.call.clone(), Rc::default());
-        self.handle(Event::Left { request });
-        self.forget(request);
     }
 
     fn forget(&mut self, request: RequestId) {
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -216,10 +216,9 @@
     pub fn finished(&mut self) {
         self.left = None;
     }
-}
 
-impl Drop for Presence {
-    fn drop(&mut self) {
+    /// The client has left.
+    fn leave(&mut self) {
         if let Some(left) = self.left.take() {
             self.request.end();
             left();
@@ -227,6 +226,12 @@
     }
 }
 
+impl Drop for Presence {
+    fn drop(&mut self) {
+        self.leave();
+    }
+}
+
 /// The end that waits for the answer. Dropping it, or the presence taken from it, tells that the client left.
 pub struct ServerSide {
     answer: oneshot::Receiver<Answer>,
@@ -235,8 +240,22 @@
 
 impl ServerSide {
     /// Waits for the answer; the presence must live as long as the client is being answered.
-    pub async fn answer(mut self) -> (Answer, Presence) {
-        let answer = (&mut self.answer).await.unwrap_or(Answer::Failed);
+    pub async fn answer(self) -> (Answer, Presence) {
+        self.answer_unless_left(std::future::pending()).await
+    }
+
+    /// The same for a client that may leave meanwhile. The core is told, and still gives the final answer: a client that
+    /// has only ended its sending hears it.
+    pub async fn answer_unless_left(mut self, left: impl Future<Output = ()>) -> (Answer, Presence) {
+        let answer = tokio::select! {
+            biased;
+            answer = &mut self.answer => answer,
+            () = left => {
+                self.presence.leave();
+                (&mut self.answer).await
+            }
+        };
+        let answer = answer.unwrap_or(Answer::Failed);
         if !matches!(answer, Answer::Stream(_)) {
             self.presence.finished();
         }
--- a/src/front/jsonrpc.rs
+++ b/src/front/jsonrpc.rs
@@ -9,10 +9,11 @@
 use super::ledger::{CallKey, Ledger, Outcome};
 use super::platform::{AnswerBody, refusal};
 use crate::config::ToolSettings;
-use crate::exchange::{Answer, Call, ClientConnection, Feed, Frame, Presence};
+use crate::exchange::{Answer, Call, Feed, Frame, Presence};
 use crate::interface::{Ask, RequestId};
-use crate::net::is_plain_id;
+use crate::net::client_socket::ClientSocket;
 use crate::net::server::{MOST_BODY, Shared};
+use crate::net::{Local, is_plain_id};
 use bytes::{Bytes, BytesMut};
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{HeaderMap, Response, StatusCode};
@@ -285,7 +286,7 @@
 /// Where the lines of an answer go: to the client as they come, or into one text.
 enum Sink {
     Lines(mpsc::Sender<Frame>),
-    Text(String),
+    Text { text: String, client: Rc<ClientSocket> },
 }
 
 impl Sink {
@@ -300,12 +301,15 @@
     }
 
     /// Resolves when the client is gone.
-    fn gone(&self) -> impl Future<Output = ()> + use<> {
-        let lines = if let Sink::Lines(lines) = self { Some(lines.clone()) } else { None };
-        async move {
-            match lines {
-                Some(lines) => lines.closed().await,
-                None => std::future::pending().await,
+    fn gone(&self) -> Local<()> {
+        match self {
+            Sink::Lines(lines) => {
+                let lines = lines.clone();
+                Box::pin(async move { lines.closed().await })
+            }
+            Sink::Text { client, .. } => {
+                let client = client.clone();
+                Box::pin(async move { client.left().await })
             }
         }
     }
@@ -344,13 +348,13 @@
     }
 
     /// Answers one HTTP message: a request, a notification or a batch.
-    pub async fn respond(self: Rc<Self>, body: Bytes) -> Response<AnswerBody> {
+    pub async fn respond(self: Rc<Self>, body: Bytes, client: &Rc<ClientSocket>) -> Response<AnswerBody> {
         if !body.trim_ascii_start().starts_with(b"[") {
             return match serde_json::from_slice::<Box<RawValue>>(&body) {
                 Err(_) => self.fault(None, PARSE),
                 Ok(raw) => match self.decode(&raw) {
                     Err((id, fault)) => self.fault(id.as_deref(), fault),
-                    Ok(message) => self.single(message).await,
+                    Ok(message) => self.single(message, client).await,
                 },
             };
         }
@@ -361,8 +365,8 @@
         };
         let mut running = Vec::new();
         for raw in items {
-            let front = self.clone();
-            running.push(tokio::task::spawn_local(async move { front.of_batch(&raw).await }));
+            let (front, client) = (self.clone(), client.clone());
+            running.push(tokio::task::spawn_local(async move { front.of_batch(&raw, &client).await }));
         }
         let mut answers = Vec::new();
         for task in running {
@@ -406,7 +410,7 @@
         response
     }
 
-    async fn single(self: Rc<Self>, message: Message) -> Response<AnswerBody> {
+    async fn single(self: Rc<Self>, message: Message, client: &Rc<ClientSocket>) -> Response<AnswerBody> {
         // By the specification nothing answers a notification, whatever becomes of it.
         if message.id.is_none() {
             self.notified(&message);
@@ -420,7 +424,7 @@
                 Err(fault) => self.fault(id.as_deref(), fault),
             };
         }
-        match self.begin(message).await {
+        match self.begin(message, client).await {
             Err(fault) => self.fault(id.as_deref(), fault),
             Ok((job, feed, presence)) => {
                 let (lines, body) = mpsc::channel(LINES);
@@ -444,7 +448,7 @@
         }
     }
 
-    async fn of_batch(self: Rc<Self>, raw: &RawValue) -> Option<Vec<u8>> {
+    async fn of_batch(self: Rc<Self>, raw: &RawValue, client: &Rc<ClientSocket>) -> Option<Vec<u8>> {
         let message = match self.decode(raw) {
             Ok(message) => message,
             Err((id, Fault(_, error))) => return Some(error_line(id.as_deref(), &error)),
@@ -460,10 +464,10 @@
                 .cancel(&message)
                 .map_or_else(faulty, |known| Some(result_line(id.as_deref(), known)));
         }
-        match self.clone().begin(message).await {
+        match self.clone().begin(message, client).await {
             Err(fault) => faulty(fault),
             Ok((job, feed, presence)) => {
-                let mut sink = Sink::Text(String::new());
+                let mut sink = Sink::Text { text: String::new(), client: client.clone() };
                 self.relay(job, feed, presence, &mut sink).await.map_or_else(|_| faulty(BROKEN), Some)
             }
         }
@@ -487,7 +491,11 @@
     }
 
     /// Checks a request and takes it to its first event.
-    async fn begin(self: &Rc<Self>, message: Message) -> Result<(Job, Feed, Presence), Fault> {
+    async fn begin(
+        self: &Rc<Self>,
+        message: Message,
+        client: &Rc<ClientSocket>,
+    ) -> Result<(Job, Feed, Presence), Fault> {
         if !self.shared.classes.contains(&message.method) {
             return Err(NO_METHOD);
         }
@@ -533,9 +541,8 @@
         let target = super::platform::PATH.to_owned();
         let json = HeaderValue::from_static("application/json");
         let headers = HeaderMap::from_iter([(CONTENT_TYPE, json)]);
-        let client = ClientConnection::default();
-        let call = Call { id, target, headers, body, client, keeps: None };
-        let waiting = self.shared.core.ask(ask, call).answer();
+        let call = Call { id, target, headers, body, client: client.connection(), keeps: None };
+        let waiting = self.shared.core.ask(ask, call).answer_unless_left(client.left());
         let (answer, presence) = tokio::select! {
             answered = waiting => answered,
             _ = in_hand.stop.wait_for(|s| *s != Stop::No) => return Err(CANCELLED),
@@ -609,7 +616,7 @@
         };
         match ended {
             Ok(()) => {
-                let text = if let Sink::Text(text) = &*sink { Some(text.as_str()) } else { None };
+                let text = if let Sink::Text { text, .. } = &*sink { Some(text.as_str()) } else { None };
                 let Progress { finish, usage } = &answer;
                 let finished =
                     Finished { request: &job.name, finish, calls: job.calls, text, usage: usage.as_deref() };
@@ -650,7 +657,7 @@
             answer.usage = event.usage.or(answer.usage.take());
             for choice in event.choices {
                 if let Some(text) = choice.delta.content.filter(|t| !t.is_empty()) {
-                    if let Sink::Text(all) = sink {
+                    if let Sink::Text { text: all, .. } = sink {
                         if all.len() + text.len() > MOST_TEXT {
                             return Err(Ended::Broken);
                         }
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -45,6 +45,13 @@
     Breaking,
 }
 
+impl AnswerBody {
+    /// Whether it comes bit by bit.
+    pub fn is_stream(&self) -> bool {
+        !matches!(self, AnswerBody::Fixed(_))
+    }
+}
+
 /// A stream that broke: the client's connection ends without the last chunk.
 #[derive(Debug, thiserror::Error)]
 #[error("the model host's stream broke")]
--- a/src/net/client_socket.rs
+++ b/src/net/client_socket.rs
@@ -37,8 +37,10 @@
     Idle(Instant),
     /// A request began to arrive then, and has not come whole.
     Arriving(Instant),
-    /// A request is in hand, or being answered.
+    /// A request has come whole and waits for its answer.
     InHand,
+    /// A stream is passed on.
+    Streaming,
 }
 
 /// A client's socket and what is known of it, shared between hyper's input, the supervisor and the service.
@@ -159,6 +161,11 @@
         self.enter(Phase::InHand);
     }
 
+    /// The answer to the request in hand is a stream, and begins.
+    pub fn streams(&self) {
+        self.enter(Phase::Streaming);
+    }
+
     /// The answer under way is the last one: nothing is read behind it.
     pub fn answers_last(&self) {
         self.is_last_answer.set(true);
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -52,14 +52,14 @@
     RequestOverdue,
     /// The client takes nothing of its answer.
     Stalled,
-    /// The client has closed before its answer.
+    /// The client has closed in the middle of its stream.
     ClientLeft,
 }
 
 /// When a connection is to be ended as it stands.
 fn due(client: &ClientSocket, accepted: Instant, stage: Stage) -> Option<Instant> {
     match client.phase() {
-        Phase::InHand => None,
+        Phase::InHand | Phase::Streaming => None,
         Phase::Idle(since) if client.is_write_blocked() => Some(since + CLIENT_STALLED),
         _ if client.is_evicted() => Some(accepted),
         Phase::Idle(since) if stage == Stage::Closing && client.has_answered() => Some(since),
@@ -150,10 +150,11 @@
             ended = poll_fn(|cx| connection.poll_without_shutdown(cx)) => return Ended::ByHttp(ended),
             Ok(()) = stage.changed() => {}
             () = client.changed() => {}
-            () = client.left(), if client.phase() == Phase::InHand => return Ended::ClientLeft,
+            // One that leaves before is answered all the same: it may only have ended its sending.
+            () = client.left(), if client.phase() == Phase::Streaming => return Ended::ClientLeft,
             () = async { tokio::time::sleep_until(due.unwrap_or(accepted)).await }, if due.is_some() => {
                 match client.phase() {
-                    Phase::InHand => {}
+                    Phase::InHand | Phase::Streaming => {}
                     Phase::Idle(_) if client.is_write_blocked() => return Ended::Stalled,
                     // A request has come that hyper has not been told of: it is no longer idle.
                     Phase::Idle(_) if client.has_unread() => recheck = Some(Instant::now() + UNREAD_RECHECK),
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -107,7 +107,7 @@
                 return self.bad(StatusCode::METHOD_NOT_ALLOWED, "wrong method\n");
             }
             return match self.body(request.into_body(), &client).await {
-                Ok((body, _held)) => front.respond(body).await,
+                Ok((body, _held)) => front.respond(body, &client).await,
                 Err(response) => response,
             };
         }
@@ -144,7 +144,7 @@
         // Its request may have waited behind an earlier one, or to be accepted.
         if client.has_left() {
             shared.counters.clients_left.up();
-            return self.bad(StatusCode::BAD_REQUEST, "the client has left\n");
+            return platform::refusal(None);
         }
         // The process may end before the deadline of what comes this late; nothing is lost if it is sent elsewhere.
         if *stage.borrow() == Stage::Closing {
@@ -161,9 +161,9 @@
         let target = head.uri.path_and_query().map_or(platform::PATH, |p| p.as_str()).to_owned();
         let keeps: Option<Rc<dyn Any>> = Some(Rc::new((in_hand, held)));
         let headers = platform::end_to_end(head.headers);
-        let client = client.connection();
-        let call = Call { id: intake.id, target, headers, body, client, keeps };
-        let (answer, presence) = shared.core.ask(intake.ask, call).answer().await;
+        let call = Call { id: intake.id, target, headers, body, client: client.connection(), keeps };
+        let answering = shared.core.ask(intake.ask, call);
+        let (answer, presence) = answering.answer_unless_left(client.left()).await;
         platform::encode(answer, presence)
     }
 
@@ -257,7 +257,7 @@
         let idle = |w: &ClientSocket| match w.phase() {
             Phase::Idle(since) => Some((0, since)).filter(|_| since.elapsed() >= SETTLED),
             Phase::Arriving(since) => Some((1, since)).filter(|_| since.elapsed() >= DAWDLES),
-            Phase::InHand => None,
+            Phase::InHand | Phase::Streaming => None,
         };
         let found = all.values().filter(|w| !w.is_evicted() && !w.is_write_blocked());
         let found = found.filter_map(|w| idle(w).map(|since| (since, w))).min_by_key(|(since, _)| *since);
@@ -446,12 +446,15 @@
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             client.answers_last();
         }
+        if response.body().is_stream() {
+            client.streams();
+        }
         Ok(response.map(|body| Answering { body, client }))
     }
 
     /// Whether the connection ends with this answer. A graceful shutdown still refuses what has arrived behind it.
     fn is_last(&self) -> bool {
         let closing = *self.stage.borrow() == Stage::Closing;
-        self.over || self.client.is_spent() || closing && !self.client.has_unread()
+        self.over || self.client.is_spent() || self.client.has_left() || closing && !self.client.has_unread()
     }
 }
--- a/tests/conductor.rs
+++ b/tests/conductor.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use rstest::rstest;
-use std::io::{BufRead, BufReader, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::Shutdown;
 use std::process::Command;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -176,6 +176,30 @@
     assert!(deleted.iter().any(|l| l.starts_with("DELETE /internal/reservations/id-1")));
 }
 
+/// A client that has only ended its sending can't be told from one that has gone: nothing more is begun for it, and it
+/// hears at once whether trying again is harmless.
+#[rstest]
+#[case::of_what_may_be_repeated("explain", 503)]
+#[case::of_what_may_have_run("send", 502)]
+fn a_client_that_ends_its_sending_hears_the_end_of_its_request(#[case] class: &str, #[case] status: u16) {
+    let (tell, told) = news();
+    let (host, lines) = noting(move |_, conn| {
+        tell("read".into());
+        conn.is_closed();
+        false
+    });
+    let conductor = Conductor::start(&operator_file(&[host.address], &[host.address], ""));
+    let mut client = BufReader::new(conductor.connect());
+    client.get_mut().write_all(request("id-1", class, "hello").as_bytes()).unwrap();
+    told.recv().unwrap();
+    client.get_mut().shutdown(Shutdown::Write).unwrap();
+    let answer = Message::read(&mut client).unwrap();
+    assert_eq!((answer.status(), answer.header("connection")), (status, Some("close")));
+    assert_eq!(client.read(&mut [0]).unwrap(), 0);
+    assert_eq!(conductor.stop().get("clients_left"), 1);
+    assert_eq!(lines.try_iter().filter(|line| line.starts_with("POST")).count(), 1);
+}
+
 /// Guards against work for nobody: a close was seen only once the requests ahead of it had been read, and the later ones
 /// of such a client were sent on one after another.
 #[test]
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -4,6 +4,7 @@
 
 use rstest::rstest;
 use std::io::Write;
+use std::net::Shutdown;
 use std::time::Duration;
 use support::request;
 use support::server::*;
@@ -93,6 +94,26 @@
     .await;
 }
 
+/// Guards against a client that ends its sending behind its request and hears nothing. It can't be told from one
+/// that has gone, so nothing is begun for it any more.
+#[tokio::test]
+async fn a_client_that_closes_its_sending_side_behind_a_request_gets_a_final_answer() {
+    on_one_thread(async {
+        let mut server = Server::start().await.run();
+        let mut client = blocking(server.connect().await);
+        client.write_all(request("id-1", "send", "hello").as_bytes()).unwrap();
+        let taken = server.taken().await;
+        client.shutdown(Shutdown::Write).unwrap();
+        assert_eq!(server.left().await, taken.ask.request);
+        // As the core does.
+        drop(taken);
+        server.all_closed().await;
+        let answer = rest(&mut client);
+        assert!(answer.starts_with("HTTP/1.1 502") && answer.contains("connection: close"), "{answer}");
+    })
+    .await;
+}
+
 /// What stands between the client's request and its close.
 #[rstest]
 #[case::nothing("")]
--- a/tests/tools.rs
+++ b/tests/tools.rs
@@ -382,3 +382,38 @@
     assert!(rest.contains("'code':-32012"), "{rest}");
     assert_eq!(tool.runs.lock().unwrap().values().sum::<u32>(), 1);
 }
+
+/// Guards against work for nobody: the requests of a batch went on when their client had left, before their first event
+/// as well as in the middle of a stream.
+#[rstest]
+#[case::one_before_its_first_event(false, false)]
+#[case::batch_before_its_first_event(true, false)]
+#[case::batch_in_the_middle_of_its_stream(true, true)]
+fn a_client_that_leaves_takes_its_requests_along(#[case] batch: bool, #[case] streams: bool) {
+    let (reached, reaches) = news();
+    let (closed, closes) = news();
+    let act = move |_: &Message, conn: &mut Conn| {
+        if streams {
+            conn.begin_stream();
+            conn.delta("one");
+        }
+        reached("reached".into());
+        closed(conn.is_closed().to_string());
+        false
+    };
+    let (worker, lines) = noting(act);
+    let reader = Peer::reader();
+    let readers = if streams { reader.address } else { worker.address };
+    let tool = Tool::start(String::new);
+    let file = operator_file(&[readers], &[worker.address], &tools(tool.peer.address, ""));
+    let conductor = Conductor::start(&file);
+    let mut client = conductor.connect();
+    let one = ask("r-1", "");
+    let message = if batch { format!("[{one}]") } else { one };
+    client.write_all(rpc_request(&message).as_bytes()).unwrap();
+    reaches.recv().unwrap();
+    drop(client);
+    assert_eq!(closes.recv().unwrap(), "true");
+    assert_eq!(conductor.stop().get("clients_left"), 1);
+    assert_eq!(lines.try_iter().filter(|line| line.starts_with("POST")).count(), 1);
+}
