Accept on in a full house: what is not being answered goes at once for each newcomer

Cause: at its bound and 16 more, the listener stopped accepting until an evicted connection was gone: one that says nothing may go after 50 ms at the earliest, one with half a request after 400 ms, and each then lingers for 200 ms. What came meanwhile stood in the system's queue, taken and unheard. Without descriptors it paused for 50 ms a try and made no room at all.

Lines at fault: net/server.rs `accept_next`, `make_room`; net/connection.rs `evicted`.

Now every connection is accepted, and at the limit one that is not being answered ends at once: first one that has its answer and waits for its client's close, then the longest idle, then the one that takes longest to send. Connections over the bound are only ever refused, so there is always one that can go.

connections `a_newcomer_is_answered_at_once_in_a_full_house` fails without the change: 750 ms, 1.8 s and 750 ms on paused time for silent, half-sent and answered clients that stay; now within 20 ms.

--- a/src/net/client_socket.rs
+++ b/src/net/client_socket.rs
@@ -41,6 +41,19 @@
     InHand,
     /// A stream is passed on.
     Streaming,
+    /// Its sending side was shut down then, and the client has not closed yet.
+    Closing(Instant),
+}
+
+/// Whether a connection's place is wanted for others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Eviction {
+    /// It may stay.
+    None,
+    /// It ends in order.
+    Soon,
+    /// There is no time for its client to close first.
+    AtOnce,
 }
 
 /// A client's socket and what is known of it, shared between hyper's input, the supervisor and the service.
@@ -54,7 +67,7 @@
     /// Whoever wants to read while the gate is shut.
     reader: RefCell<Option<Waker>>,
     is_write_blocked: Cell<bool>,
-    is_evicted: Cell<bool>,
+    eviction: Cell<Eviction>,
     has_answered: Cell<bool>,
     changed: Notify,
     framing: RefCell<Framing>,
@@ -70,7 +83,7 @@
             is_last_answer: Cell::new(false),
             reader: RefCell::default(),
             is_write_blocked: Cell::new(false),
-            is_evicted: Cell::new(false),
+            eviction: Cell::new(Eviction::None),
             has_answered: Cell::new(false),
             changed: Notify::new(),
             framing: RefCell::default(),
@@ -93,8 +106,8 @@
     }
 
     /// Whether its place is wanted for others.
-    pub fn is_evicted(&self) -> bool {
-        self.is_evicted.get()
+    pub fn eviction(&self) -> Eviction {
+        self.eviction.get()
     }
 
     /// Whether anything was ever answered on it.
@@ -166,6 +179,11 @@
         self.enter(Phase::Streaming);
     }
 
+    /// The connection is shut down from this side.
+    pub fn closes(&self) {
+        self.enter(Phase::Closing(Instant::now()));
+    }
+
     /// The answer under way is the last one: nothing is read behind it.
     pub fn answers_last(&self) {
         self.is_last_answer.set(true);
@@ -184,8 +202,8 @@
     }
 
     /// The connection's place is wanted for others.
-    pub fn evict(&self) {
-        self.is_evicted.set(true);
+    pub fn evict(&self, eviction: Eviction) {
+        self.eviction.set(eviction.max(self.eviction.get()));
         self.changed.notify_one();
     }
 
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -6,7 +6,7 @@
 //! the client has some time to close first.
 
 use super::Local;
-use super::client_socket::{ClientSocket, GatedSocket, Phase};
+use super::client_socket::{ClientSocket, Eviction, GatedSocket, Phase};
 use super::server::{Answering, Stage};
 use super::socket::Socket;
 use crate::counters::Counters;
@@ -59,9 +59,9 @@
 /// When a connection is to be ended as it stands.
 fn due(client: &ClientSocket, accepted: Instant, stage: Stage) -> Option<Instant> {
     match client.phase() {
-        Phase::InHand | Phase::Streaming => None,
+        Phase::InHand | Phase::Streaming | Phase::Closing(_) => None,
         Phase::Idle(since) if client.is_write_blocked() => Some(since + CLIENT_STALLED),
-        _ if client.is_evicted() => Some(accepted),
+        _ if client.eviction() > Eviction::None => Some(accepted),
         Phase::Idle(since) if stage == Stage::Closing && client.has_answered() => Some(since),
         Phase::Idle(since) if client.has_answered() => Some(since + IDLE_CLIENT),
         Phase::Idle(_) if stage == Stage::Closing => Some(accepted + SILENT_CLIENT_AT_SHUTDOWN),
@@ -108,7 +108,7 @@
         Ended::ByHttp(Ok(())) | Ended::Idle => {}
         Ended::Stalled | Ended::ClientLeft => return,
     }
-    client.answered();
+    client.closes();
     tokio::select! {
         () = close(client) => {}
         () = tokio::time::sleep(LINGER) => {}
@@ -154,7 +154,7 @@
             () = client.left(), if client.phase() == Phase::Streaming => return Ended::ClientLeft,
             () = async { tokio::time::sleep_until(due.unwrap_or(accepted)).await }, if due.is_some() => {
                 match client.phase() {
-                    Phase::InHand | Phase::Streaming => {}
+                    Phase::InHand | Phase::Streaming | Phase::Closing(_) => {}
                     Phase::Idle(_) if client.is_write_blocked() => return Ended::Stalled,
                     // A request has come that hyper has not been told of: it is no longer idle.
                     Phase::Idle(_) if client.has_unread() => recheck = Some(Instant::now() + UNREAD_RECHECK),
@@ -167,12 +167,19 @@
     }
 }
 
-/// Resolves when the connection's place is wanted for others, and the client has had a moment to close.
+/// Resolves when the connection's place is wanted for others, and the client has had a moment to close if there is one.
 async fn evicted(client: &ClientSocket) {
-    while !client.is_evicted() {
+    while client.eviction() == Eviction::None {
         client.changed().await;
     }
-    tokio::time::sleep(LINGER_EVICTED).await;
+    tokio::select! {
+        () = tokio::time::sleep(LINGER_EVICTED) => {}
+        () = async {
+            while client.eviction() < Eviction::AtOnce {
+                client.changed().await;
+            }
+        } => {}
+    }
 }
 
 /// Ends the sending side, then waits until the client has closed, and takes nothing in any more.
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -2,7 +2,7 @@
 
 use super::Local;
 use super::budget::{Budget, Held};
-use super::client_socket::{ClientSocket, Phase};
+use super::client_socket::{ClientSocket, Eviction, Phase};
 use super::connection::serve;
 use crate::core::CoreHandle;
 use crate::counters::Counters;
@@ -25,7 +25,7 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 use tower::limit::ConcurrencyLimit;
 use tower::load_shed::LoadShed;
@@ -38,14 +38,15 @@
 const SETTLED: Duration = Duration::from_millis(50);
 /// The same for a request that is still not whole.
 const DAWDLES: Duration = Duration::from_millis(400);
-/// Connections over the bound that are still told so; beyond them, new ones wait in the system's queue.
+/// Connections over the bound that are still told so; beyond them, one that is not being answered has to go at once for
+/// each that comes.
 pub const OVER: usize = 16;
 /// Advice to clients that came when there was no room.
 const COME_BACK: Micros = 500_000;
-/// Between two looks for room while there is none.
-const FULL_PAUSE: Duration = Duration::from_millis(5);
-/// After an accept that failed.
-const ACCEPT_FAILED_PAUSE: Duration = Duration::from_millis(50);
+/// Within this an evicted connection is gone if it can go.
+const EVICTION_TIME: Duration = Duration::from_millis(5);
+/// After an accept that failed for want of a descriptor: by then the connection that had to go for it is closed.
+const ACCEPT_FAILED_PAUSE: Duration = Duration::from_millis(5);
 
 /// What all connections of the edge share.
 pub struct Shared {
@@ -235,6 +236,8 @@
 pub struct Connections {
     all: RefCell<BTreeMap<u64, Rc<ClientSocket>>>,
     next: Cell<u64>,
+    /// A place was given back.
+    freed: Notify,
 }
 
 impl Connections {
@@ -250,22 +253,37 @@
         Place(self.clone(), number)
     }
 
-    /// Makes room: the longest idle connection goes, else the one that takes longest to send its request. Guards
-    /// against clients that connect by the hundred and say nothing, or never all.
+    /// Makes room before there is none: the longest idle connection goes, else the one that takes longest to send its
+    /// request. Guards against clients that connect by the hundred and say nothing, or never all.
     fn make_room(&self, counters: &Counters) -> bool {
-        let all = self.all.borrow();
-        let idle = |w: &ClientSocket| match w.phase() {
-            Phase::Idle(since) => Some((0, since)).filter(|_| since.elapsed() >= SETTLED),
-            Phase::Arriving(since) => Some((1, since)).filter(|_| since.elapsed() >= DAWDLES),
+        let settled = |phase| match phase {
+            Phase::Idle(since) | Phase::Closing(since) => since.elapsed() >= SETTLED,
+            Phase::Arriving(since) => since.elapsed() >= DAWDLES,
+            Phase::InHand | Phase::Streaming => false,
+        };
+        self.evict(Eviction::Soon, settled, counters)
+    }
+
+    /// Makes room where there is none: whatever is not being answered goes, those first that have their answer.
+    fn make_room_at_once(&self, counters: &Counters) -> bool {
+        self.evict(Eviction::AtOnce, |_| true, counters)
+    }
+
+    fn evict(&self, eviction: Eviction, may_go: impl Fn(Phase) -> bool, counters: &Counters) -> bool {
+        let rank = |client: &ClientSocket| match client.phase() {
+            phase if !may_go(phase) => None,
+            Phase::Closing(since) if eviction == Eviction::AtOnce => Some((0, since)),
+            Phase::Idle(since) | Phase::Closing(since) => Some((1, since)),
+            Phase::Arriving(since) => Some((2, since)),
             Phase::InHand | Phase::Streaming => None,
         };
-        let found = all.values().filter(|w| !w.is_evicted() && !w.is_write_blocked());
-        let found = found.filter_map(|w| idle(w).map(|since| (since, w))).min_by_key(|(since, _)| *since);
-        let found = found.inspect(|(_, w)| w.evict());
-        if found.is_some() {
-            counters.connections_evicted.up();
-        }
-        found.is_some()
+        let all = self.all.borrow();
+        let staying = all.values().filter(|c| c.eviction() < eviction && !c.is_write_blocked());
+        let found = staying.filter_map(|c| rank(c).map(|rank| (rank, c))).min_by_key(|(rank, _)| *rank);
+        let Some((_, client)) = found else { return false };
+        client.evict(eviction);
+        counters.connections_evicted.up();
+        true
     }
 }
 
@@ -275,6 +293,7 @@
 impl Drop for Place {
     fn drop(&mut self) {
         self.0.all.borrow_mut().remove(&self.1);
+        self.0.freed.notify_one();
     }
 }
 
@@ -340,24 +359,33 @@
         self.drain_backlog(listener, &service);
     }
 
-    /// Accepts one after another.
+    /// Accepts one after another, also in a full house: none is left to wait in the system's queue.
     async fn accept_next(&self, listener: &TcpListener, service: &BoundedEdge) {
         loop {
-            while self.open.count() >= self.bound + OVER {
-                self.open.make_room(self.counters());
-                tokio::time::sleep(FULL_PAUSE).await;
-            }
             match listener.accept().await {
-                Ok((stream, _)) => self.admit(stream, service),
+                Ok((stream, _)) => {
+                    self.admit(stream, service);
+                    self.keep_reserve().await;
+                }
                 Err(error) => {
-                    // Out of descriptors, say: what is open goes on, new ones wait.
                     log::warn!("accept: {error}");
+                    self.open.make_room_at_once(self.counters());
                     tokio::time::sleep(ACCEPT_FAILED_PAUSE).await;
                 }
             }
         }
     }
 
+    /// Waits until there are no more connections than there may be. Those over the bound are refused as soon as they
+    /// ask, so among them there is always one that can go.
+    async fn keep_reserve(&self) {
+        while self.open.count() > self.bound + OVER {
+            self.open.make_room_at_once(self.counters());
+            // One whose request came in this moment is answered first: then another has to go.
+            let _ = tokio::time::timeout(EVICTION_TIME, self.open.freed.notified()).await;
+        }
+    }
+
     /// Takes in what waits in the system's queue, and no more.
     fn drain_backlog(&self, listener: TcpListener, service: &BoundedEdge) {
         // Asked directly: the runtime may not have looked at the listener since the last connection came.
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -10,7 +10,8 @@
 use support::server::*;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use whinhaven::net::server::Stage;
+use tokio::time::Instant;
+use whinhaven::net::server::{OVER, Stage};
 
 /// How a connection comes to its end between two requests.
 #[derive(Clone, Copy)]
@@ -135,3 +136,32 @@
     })
     .await;
 }
+
+/// Guards against a full house that lets newcomers wait unheard: clients that say nothing, never all, or stay when they
+/// have their answer hold every place and all that is kept in reserve.
+#[rstest]
+#[case::silent(b"")]
+#[case::half_a_request(b"POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\n")]
+#[case::answered_and_still_there(HEALTH)]
+#[tokio::test(start_paused = true)]
+async fn a_newcomer_is_answered_at_once_in_a_full_house(#[case] says: &[u8]) {
+    on_one_thread(async {
+        let server = Server::start_with(Options { bound: 4, ..Options::default() }).await.run();
+        let mut crowd = Vec::new();
+        for _ in 0..60 {
+            let mut client = server.connect().await;
+            client.write_all(says).await.unwrap();
+            crowd.push(client);
+        }
+        let mut client = server.connect().await;
+        let began = Instant::now();
+        client.write_all(HEALTH).await.unwrap();
+        let mut answer = [0; 256];
+        let length = client.read(&mut answer).await.unwrap();
+        let answer = String::from_utf8_lossy(&answer[..length]);
+        assert!(answer.starts_with("HTTP/1.1 "), "{answer}");
+        assert!(began.elapsed() < Duration::from_millis(20), "answered after {:?}", began.elapsed());
+        assert!(server.open.count() <= 4 + OVER + 1);
+    })
+    .await;
+}
