Count a request's deadline from when it was seen to wait behind another

Cause: the deadline was counted from the decoding of the head. A request that had waited unread behind another on its connection was given its whole time anew, and told it to workers, though its client had been waiting all along.

Lines at fault: net/server.rs `platform` (`platform::decode` at the clock's now), front/jsonrpc.rs `begin`.

connections `a_request_that_waited_behind_another...` fails without the change: 3,000,000 us more than the client has, on paused time.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -39,6 +39,11 @@
         self.at_origin + self.origin.elapsed().as_micros() as Micros
     }
 
+    /// So long before now.
+    pub fn ago(&self, time: Duration) -> Micros {
+        self.now().saturating_sub(time.as_micros() as Micros)
+    }
+
     /// A moment as the runtime counts it.
     pub fn instant(&self, at: Micros) -> Instant {
         self.origin + Duration::from_micros(at.saturating_sub(self.at_origin))
--- a/src/front/jsonrpc.rs
+++ b/src/front/jsonrpc.rs
@@ -526,7 +526,7 @@
         let prompt_tokens = params.prompt_len.unwrap_or(body.len() as u64 / 4);
         let ask = Ask {
             request: RequestId(0),
-            deadline: self.shared.core.clock.now() + params.deadline_ms * 1000,
+            deadline: self.shared.core.clock.ago(client.waited()) + params.deadline_ms * 1000,
             session: params.session.map(Into::into),
             prefix: params.prefix.map(Into::into),
             prefix_tokens: params.prefix_len.min(prompt_tokens),
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -120,7 +120,7 @@
     pub stated: bool,
 }
 
-/// Decodes the headers of a request that came at `now`.
+/// Decodes the headers of a request whose time began at `now`.
 ///
 /// # Errors
 /// What is wrong, for the client to read.
--- a/src/net/client_socket.rs
+++ b/src/net/client_socket.rs
@@ -69,6 +69,10 @@
     is_write_blocked: Cell<bool>,
     eviction: Cell<Eviction>,
     has_answered: Cell<bool>,
+    /// When bytes of the next request were first seen to wait behind the one in hand.
+    next_waits_since: Cell<Option<Instant>>,
+    /// The same of the request that was read last.
+    waited_since: Cell<Option<Instant>>,
     changed: Notify,
     framing: RefCell<Framing>,
 }
@@ -85,6 +89,8 @@
             is_write_blocked: Cell::new(false),
             eviction: Cell::new(Eviction::None),
             has_answered: Cell::new(false),
+            next_waits_since: Cell::new(None),
+            waited_since: Cell::new(None),
             changed: Notify::new(),
             framing: RefCell::default(),
         })
@@ -143,11 +149,19 @@
             if ready.is_read_closed() {
                 return;
             }
+            if self.has_unread() && self.next_waits_since.get().is_none() {
+                self.next_waits_since.set(Some(Instant::now()));
+            }
             // Bytes that are left unread keep the socket readable.
             tokio::time::sleep(LOOK_AGAIN).await;
         }
     }
 
+    /// How long ago the request in hand was seen to wait behind an earlier one. Its client's time has run since.
+    pub fn waited(&self) -> Duration {
+        self.waited_since.get().map_or(Duration::ZERO, |since| since.elapsed())
+    }
+
     /// Looks at bytes that have arrived, and leaves them where they are.
     fn peek(&self, bytes: &mut [u8]) -> usize {
         recv(self.stream.as_fd(), bytes, RecvFlags::PEEK | RecvFlags::DONTWAIT)
@@ -223,6 +237,7 @@
     /// Takes note of bytes that were handed to hyper.
     fn handed(&self, bytes: &[u8]) {
         if let Phase::Idle(_) = self.phase.get() {
+            self.waited_since.set(self.next_waits_since.take());
             self.enter(Phase::Arriving(Instant::now()));
         }
         let mut framing = self.framing.borrow_mut();
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -127,7 +127,7 @@
     ) -> Response<AnswerBody> {
         let shared = self.shared.clone();
         let (head, body) = request.into_parts();
-        let mut intake = match platform::decode(&head.headers, shared.core.clock.now()) {
+        let mut intake = match platform::decode(&head.headers, shared.core.clock.ago(client.waited())) {
             Ok(intake) => intake,
             Err(what) => return self.bad(StatusCode::BAD_REQUEST, what),
         };
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -165,3 +165,24 @@
     })
     .await;
 }
+
+/// Guards against a deadline that begins anew when a request is read: its client has waited since it sent it.
+#[tokio::test(start_paused = true)]
+async fn a_request_that_waited_behind_another_has_only_what_is_left_of_its_time() {
+    on_one_thread(async {
+        let mut server = Server::start().await.run();
+        let mut client = server.connect().await;
+        client.write_all(request("id-1", "send", "hello").as_bytes()).await.unwrap();
+        let first = server.taken().await;
+        let (sent, at) = (Instant::now(), first.ask.deadline);
+        client.write_all(request("id-2", "send", "hello").as_bytes()).await.unwrap();
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        first.answer.refuse(None);
+        let second = server.taken().await;
+        assert!(sent.elapsed() >= Duration::from_secs(3));
+        // Both ask for eight seconds, and were sent at almost the same time.
+        let later = second.ask.deadline - at;
+        assert!(later <= 150_000, "{later} us more than its client has");
+    })
+    .await;
+}
