Take an answer only for the request and the stage that were asked

Cause: any 200 stream and any 202 was believed. A stream from a worker that was to read only would have been passed on as the client's answer, a 202 from one that was to write taken for a read; an answer that begins before its request is whole, or had come before its first byte, counted as that request's. The pool's look at a kept connection is taken at its checkout, and hyper's goes by remembered readiness.

Lines at fault: net/client.rs `Answered::read`; net/pool.rs `Connection::usable` as the only look.

Now the module says with each send whether it is a read (`Action::Send::reads`, the policy's one changed line); the other stage's answer is an error, one that names another request in X-Request-Id breaks the connection, one in front of the request's end means that it never ran, and a connection on which anything waits at the first byte, its end included, takes no request. What can't be told, a full second answer that comes later than the rest of 25 ms, stays open.

With only the mend undone (tried): attempts `an_answer_is_taken_for_what_was_asked_only` fails for both stages, and `bytes_that_come_before_a_request_are_not_its_answer` without the look at the first byte.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -60,6 +60,8 @@
     pub attempt: AttemptIndex,
     /// Where it goes.
     pub worker: WorkerId,
+    /// Whether the worker is to read the prompt only: then its answer is no stream, else it is one.
+    pub reads: bool,
     /// What is sent.
     pub call: Rc<Call>,
     /// When to stop waiting for the first event.
@@ -510,8 +512,8 @@
 
     fn act(&mut self, action: Action) {
         match action {
-            Action::Send { request, worker, timeout, begin_before } => {
-                self.send(request, worker, timeout, begin_before);
+            Action::Send { request, worker, reads, timeout, begin_before } => {
+                self.send(request, worker, reads, timeout, begin_before);
             }
             Action::Refuse { request, retry_after } => {
                 if let Some(answer) = self.open.get_mut(&request).and_then(Open::take_answer) {
@@ -563,6 +565,7 @@
         &mut self,
         request: RequestId,
         worker: WorkerId,
+        reads: bool,
         timeout: Option<Micros>,
         begin_before: Option<Micros>,
     ) {
@@ -588,6 +591,7 @@
             state: open.state.clone(),
             attempt,
             worker,
+            reads,
             call,
             until,
             begin_before,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -379,6 +379,8 @@
         request: RequestId,
         /// The worker.
         worker: WorkerId,
+        /// Whether it is to read the prompt only, and leave the answer to another.
+        reads: bool,
         /// The attempt's time-out; `None`: the client's deadline.
         timeout: Option<Micros>,
         /// It may only begin before this: a repeat has to arrive inside its window. `None`: at any time.
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -13,7 +13,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::HeaderValue;
-use hyper::{Request, Response, StatusCode};
+use hyper::{HeaderMap, Request, Response, StatusCode};
 use serde::Deserialize;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -167,7 +167,8 @@
         let cut_off = |outcome: Outcome| if meter.complete() { outcome } else { Outcome::NoConnection };
         let answering = async {
             let response = connection.send_guarded(request, attempt.call.body.len(), guard).await?;
-            Answered::read(response).await
+            let sent = Sent { id: &attempt.call.id, reads: attempt.reads, is_whole: meter.complete() };
+            Answered::read(response, sent).await
         };
         let answered = tokio::select! {
             biased;
@@ -421,40 +422,66 @@
     Stream(Stream),
 }
 
+/// What an answer is to.
+struct Sent<'a> {
+    id: &'a str,
+    /// Whether the host was to read the prompt only.
+    reads: bool,
+    /// Whether its last byte had been written when the answer began.
+    is_whole: bool,
+}
+
+/// An answer that belongs to something else.
+#[derive(Debug, thiserror::Error)]
+#[error("the answer names another request")]
+struct ForeignAnswer;
+
 impl Answered {
-    async fn read(response: Response<Incoming>) -> Result<Self, Box<dyn std::error::Error>> {
+    async fn read(response: Response<Incoming>, sent: Sent<'_>) -> Result<Self, Box<dyn std::error::Error>> {
         let (head, body) = response.into_parts();
         let not_run = head.headers.contains_key("x-not-run");
         let report = head.headers.get("x-load").and_then(|v| read_report(v.to_str().ok()?).ok());
-        if head.status == StatusCode::OK {
-            let chunked = head.headers.get("transfer-encoding").is_some();
-            let framed = chunked || body.size_hint().exact().is_some();
-            let text = |v: &HeaderValue| v.to_str().ok().map(str::to_owned);
-            let content_type = head.headers.get("content-type").and_then(text);
-            let checked = content_type.as_ref().is_some_and(|t| t.starts_with("text/event-stream"));
-            let mut events = Events::new(body, checked);
-            // The head alone is no event: until one has come, the attempt is still this conductor's.
-            return match events.first().await? {
-                Some(first) => Ok(Answered::Stream(Stream { first, events, content_type, framed })),
-                None => Ok(Answered::Whole { end: Outcome::ConnectionLost.into(), reusable: false }),
-            };
+        if head.headers.get("x-request-id").is_some_and(|named| named.as_bytes() != sent.id.as_bytes()) {
+            return Err(ForeignAnswer.into());
         }
-        // The status says it all: a body that doesn't come, or not to an end, costs the connection alone.
-        let whole = tokio::time::timeout(BODY_BEHIND, Limited::new(body, MOST_ANSWER).collect()).await;
-        let (reusable, bytes) =
-            whole.ok().and_then(Result::ok).map_or((false, Bytes::new()), |b| (true, b.to_bytes()));
         let outcome = match head.status {
-            StatusCode::ACCEPTED => Outcome::Read,
-            StatusCode::GONE if not_run => Outcome::NoState,
             StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if not_run => Outcome::TurnedAway,
+            // A host begins with the last byte: whatever this says, it is not what became of the request.
+            _ if !sent.is_whole => Outcome::NoConnection,
+            StatusCode::OK if !sent.reads => return Answered::stream(head.headers, body).await,
+            StatusCode::ACCEPTED if sent.reads => Outcome::Read,
+            StatusCode::GONE if not_run => Outcome::NoState,
             _ => Outcome::Error,
         };
+        if outcome == Outcome::NoConnection || head.status.is_success() && outcome == Outcome::Error {
+            return Ok(Answered::Whole { end: outcome.into(), reusable: false });
+        }
+        // The status says it all: a body that doesn't come, or not to an end, costs the connection alone.
+        let whole = tokio::time::timeout(BODY_BEHIND, Limited::new(body, MOST_ANSWER).collect()).await;
+        let (reusable, bytes) =
+            whole.ok().and_then(Result::ok).map_or((false, Bytes::new()), |b| (true, b.to_bytes()));
         let kept = match outcome {
             Outcome::Read => serde_json::from_slice::<ReadDone>(&bytes).map_or(0, |r| r.cached_tokens as u64),
             _ => 0,
         };
+        let reusable = reusable && sent.is_whole;
         Ok(Answered::Whole { end: End { outcome, kept, report }, reusable })
     }
+
+    /// Reads a stream up to its first event.
+    async fn stream(headers: HeaderMap, body: Incoming) -> Result<Self, Box<dyn std::error::Error>> {
+        let is_chunked = headers.get("transfer-encoding").is_some();
+        let framed = is_chunked || body.size_hint().exact().is_some();
+        let text = |v: &HeaderValue| v.to_str().ok().map(str::to_owned);
+        let content_type = headers.get("content-type").and_then(text);
+        let checked = content_type.as_ref().is_some_and(|t| t.starts_with("text/event-stream"));
+        let mut events = Events::new(body, checked);
+        // The head alone is no event: until one has come, the attempt is still this conductor's.
+        match events.first().await? {
+            Some(first) => Ok(Answered::Stream(Stream { first, events, content_type, framed })),
+            None => Ok(Answered::Whole { end: Outcome::ConnectionLost.into(), reusable: false }),
+        }
+    }
 }
 
 fn keep_tail(tail: &mut Vec<u8>, data: &[u8]) {
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -49,6 +49,8 @@
     matched: Cell<u8>,
     /// Bytes of the body still to be written.
     left: Cell<usize>,
+    /// Whether some of the request was written.
+    begun: Cell<bool>,
     guard: RefCell<Option<WriteGuard>>,
     held_back: Cell<Option<Outcome>>,
 }
@@ -58,15 +60,19 @@
     fn begin(&self, body: usize, guard: WriteGuard) {
         self.matched.set(0);
         self.left.set(body);
+        self.begun.set(false);
         self.guard.replace(Some(guard));
     }
 
     /// The last look before bytes of the request are written: nothing is waited for between the two.
-    fn check(&self) -> io::Result<()> {
+    fn check(&self, stream: &TcpStream) -> io::Result<()> {
         let checked = match &*self.guard.borrow() {
             Some(guard) if !self.complete() => guard(),
             _ => Ok(()),
         };
+        // What comes before a request is no answer to it, and a connection that is closed takes none.
+        let is_usable = self.begun.get() || is_quiet(stream);
+        let checked = checked.and(if is_usable { Ok(()) } else { Err(Outcome::NoConnection) });
         checked.map_err(|outcome| {
             self.held_back.set(Some(outcome));
             io::Error::other("held back")
@@ -80,6 +86,7 @@
 
     /// Counts bytes that the socket took.
     fn count(&self, mut bytes: &[u8]) {
+        self.begun.set(true);
         while self.matched.get() < 4 {
             let Some((byte, rest)) = bytes.split_first() else { return };
             bytes = rest;
@@ -98,6 +105,12 @@
     }
 }
 
+/// Whether nothing waits on a connection, neither bytes nor its end, as the system knows it at this moment.
+fn is_quiet(stream: &TcpStream) -> bool {
+    let waiting = SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]);
+    waiting.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+}
+
 /// A socket whose writes are counted.
 struct Metered {
     socket: Socket,
@@ -124,7 +137,7 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.meter.check()?;
+        self.meter.check(&self.socket.0)?;
         let written = ready!(Pin::new(&mut self.socket).poll_write_vectored(cx, bufs))?;
         let mut left = written;
         for buf in bufs {
@@ -206,9 +219,7 @@
     /// Whether it can take a request. Bytes that wait belong to no request of ours: a host that sends a second answer
     /// behind the first would have it taken for the answer to the next request, before hyper has looked at the socket.
     fn usable(&self) -> bool {
-        let waiting = SockRef::from(&*self.stream).peek(&mut [MaybeUninit::uninit()]);
-        let quiet = waiting.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock);
-        quiet && self.sender.is_ready() && !self.sender.is_closed()
+        is_quiet(&self.stream) && self.sender.is_ready() && !self.sender.is_closed()
     }
 }
 
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -606,7 +606,7 @@
         if !writes {
             self.tell(worker, tokens, out);
         }
-        out.push(Action::Send { request: id, worker: worker.clone(), timeout, begin_before });
+        out.push(Action::Send { request: id, worker: worker.clone(), reads: !writes, timeout, begin_before });
     }
 
     /// Whether a request that may have run may go to this worker again, if connecting takes all its time.
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use rstest::rstest;
 use socket2::{Domain, SockRef, Socket, Type};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
 use std::future::poll_fn;
 use std::io::{Read, Write};
@@ -75,6 +75,7 @@
             state: RequestState::default(),
             attempt: AttemptIndex(0),
             worker: WorkerId(worker.into()),
+            reads: true,
             call: Rc::new(call(id)),
             until: self.now() + 10 * SECOND,
             begin_before: None,
@@ -404,6 +405,55 @@
     .await;
 }
 
+/// Guards against an answer that is believed though it can't belong to the request: of the other stage, or to another
+/// request by its own words.
+#[rstest]
+#[case::read_as_asked(true, "202 Accepted", "", Outcome::Read)]
+#[case::a_stream_of_a_reader(true, "200 OK", "", Outcome::Error)]
+#[case::no_stream_of_a_writer(false, "202 Accepted", "", Outcome::Error)]
+#[case::named_as_asked(true, "202 Accepted", "x-request-id: id-1\r\n", Outcome::Read)]
+#[case::named_otherwise(true, "202 Accepted", "x-request-id: id-0\r\n", Outcome::ConnectionLost)]
+#[tokio::test]
+async fn an_answer_is_taken_for_what_was_asked_only(
+    #[case] reads: bool,
+    #[case] status: &'static str,
+    #[case] headers: &'static str,
+    #[case] wanted: Outcome,
+) {
+    story(async {
+        let (peer, _told) = noting(move |_, conn| {
+            conn.answer(status, headers, "data: {}\n\n");
+            true
+        });
+        let mut client = Client::start(&[(WORKER, peer.address)], 4);
+        let mut attempt = client.attempt(WORKER, "id-1");
+        attempt.reads = reads;
+        assert_eq!(client.outcome(attempt).await, wanted);
+    })
+    .await;
+}
+
+/// Guards against an answer that came before its request: whatever it is, it is not that request's.
+#[tokio::test]
+async fn bytes_that_come_before_a_request_are_not_its_answer() {
+    story(async {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let mut client = Client::start(&[(WORKER, listener.local_addr().unwrap())], 4);
+        let mut attempt = client.attempt(WORKER, "id-1");
+        let early = RefCell::new(Vec::new());
+        // In the last moment before the first byte: the runtime has not told of it.
+        let there = ClientConnection::new(Rc::new(move || {
+            let (mut peer, _) = listener.accept().unwrap();
+            peer.write_all(b"HTTP/1.1 202 Accepted\r\ncontent-length: 2\r\n\r\n{}").unwrap();
+            early.borrow_mut().push(peer);
+            false
+        }));
+        attempt.call = Rc::new(Call { client: there, ..call("id-1") });
+        assert_eq!(client.outcome(attempt).await, Outcome::NoConnection);
+    })
+    .await;
+}
+
 /// Guards against an attempt that begins on a connection that comes up after its client has left.
 #[tokio::test]
 async fn an_attempt_cancelled_in_its_connect_ends_at_once() {
