--- a/tests/policy_cold_start.rs
+++ b/tests/policy_cold_start.rs
@@ -4,6 +4,7 @@
 mod rig;
 
 use rig::*;
+use rstest::rstest;
 use std::sync::Arc;
 use whinhaven::Policy;
 use whinhaven::interface::*;
@@ -235,3 +236,96 @@
     }
     assert!(readers.iter().all(|r| *r == readers[0]), "{readers:?}");
 }
+
+/// Two warm readers that turn away what they can't do at once, and a cold one.
+struct Readers {
+    /// What a warm one can do in a second, and when each is free again.
+    rate: u64,
+    free_at: [Micros; 2],
+    cold_answers: Outcome,
+    /// When the cold one was sent something.
+    to_cold: Vec<Micros>,
+}
+
+impl Readers {
+    fn answer(&mut self, now: Micros, reader: &str) -> Outcome {
+        let warm = match reader {
+            "r1" => 0,
+            "r2" => 1,
+            _ => {
+                self.to_cold.push(now);
+                return self.cold_answers;
+            }
+        };
+        // A queue of a tenth of a second.
+        if self.free_at[warm] > now + 100 * MS {
+            return Outcome::TurnedAway;
+        }
+        self.free_at[warm] = self.free_at[warm].max(now) + SECOND / self.rate;
+        Outcome::Read
+    }
+}
+
+/// Takes a request through all of its attempts.
+fn run_through(rig: &mut Rig, id: u64, readers: &mut Readers) {
+    let mut actions = rig.ask(id, "safe");
+    for attempt in 0..6 {
+        let Some(worker) = sends(&actions).first().map(|w| (*w).to_owned()) else { return };
+        let outcome =
+            if worker.starts_with('r') { readers.answer(rig.now, &worker) } else { Outcome::Served };
+        actions = rig.end(id, attempt, outcome);
+    }
+}
+
+/// The budget of a cold server is the fleet's, however many processes it has: in no window do they send more together,
+/// neither under a burst as they are told of its start, or later, nor where it turns away what it gets.
+#[rstest]
+fn all_routers_together_stay_within_the_budget_of_a_cold_reader(
+    #[values(1, 2, 5, 30, 300)] routers: u32,
+    #[values(Outcome::Read, Outcome::TurnedAway)] cold_answers: Outcome,
+    #[values(4, 40)] each_warm_does: u64,
+    #[values(0, 4)] burst_after: u64,
+) {
+    const WARM: u64 = 2;
+    const BURST: u64 = 8;
+    let set = Settings { routers, ..settings() };
+    let start = 100 * SECOND;
+    let mut fleet: Vec<Rig> = (0..routers)
+        .map(|index| {
+            let set = Settings { index, ..set.clone() };
+            let mut rig = Rig { policy: Policy::new(set.clone(), u64::from(index)), ..Rig::new(set) };
+            let warm = ["r1", "r2", "w1", "w2"].map(|w| entry(w, 0, Status::Ready, None));
+            rig.list(ListKind::Saved, warm.to_vec());
+            rig
+        })
+        .collect();
+    let (ordinary, mut now, mut id, mut told) = (WARM * each_warm_does, start, 0, false);
+    let began = start + 10 * SECOND;
+    let mut readers = Readers { rate: each_warm_does, free_at: [0; 2], cold_answers, to_cold: Vec::new() };
+    while now < began + 9 * SECOND {
+        let burst = now >= began + burst_after * SECOND && now < began + (burst_after + 2) * SECOND;
+        now += SECOND / (ordinary * if burst { BURST } else { 1 });
+        if now >= began && !told {
+            told = true;
+            for rig in &mut fleet {
+                rig.now = now;
+                rig.list(ListKind::Changes, vec![entry("r3", 0, Status::Ready, Some(began))]);
+            }
+        }
+        id += 1;
+        // Unevenly: a third of the requests come to one process.
+        let router = if id % 3 == 0 { 0 } else { id * 7 % u64::from(routers) };
+        let rig = &mut fleet[router as usize];
+        rig.now = now;
+        run_through(rig, id, &mut readers);
+    }
+    let to_cold = readers.to_cold;
+    for (i, from) in to_cold.iter().enumerate() {
+        let in_window = to_cold[i..].iter().take_while(|at| **at < from + set.fall).count() as f64;
+        let age = (from - began) as f64 / set.cold as f64;
+        let warmth = set.cold_from + (1.0 - set.cold_from) * age;
+        let n = set.fall_multiple * each_warm_does as f64 * warmth;
+        let limit = if n < 30.0 { n + 3.0 * n.sqrt() + 3.0 } else { n + 2.0 * n.sqrt() + 2.0 };
+        assert!(in_window <= limit, "{in_window} in the second from {age}, with a budget of {n}");
+    }
+}
