Test hundreds of requests that end in one instant: each is answered in time

Held by the unchanged driver, on paused time: 500 requests with one deadline, attempts out that never end, all refused within the 16 ms of the settings.

--- a/tests/core.rs
+++ b/tests/core.rs
@@ -43,7 +43,7 @@
     notes: Rc<Notes>,
     client: ServerSide,
     /// The driver runs for as long as there is one.
-    _handle: CoreHandle,
+    handle: CoreHandle,
 }
 
 impl Driver {
@@ -66,7 +66,7 @@
         while notes.attempts.borrow().is_empty() {
             tokio::task::yield_now().await;
         }
-        Driver { notes, client, _handle: handle }
+        Driver { notes, client, handle }
     }
 
     /// What the attempt that is out was told.
@@ -117,7 +117,7 @@
 async fn when_the_client_leaves_an_attempt(#[case] begun: bool, #[case] wanted: TryRecvError) {
     let story = async {
         let driver = Driver::start(settings(), 600_000_000).await;
-        let Driver { notes, client, _handle } = driver;
+        let Driver { notes, client, handle: _handle } = driver;
         notes.attempts.borrow()[0].begun.set(begun);
         drop(client);
         settle().await;
@@ -140,7 +140,7 @@
         assert_eq!(driver.cancelled(), TryRecvError::Empty);
         let state = driver.notes.attempts.borrow()[0].state.clone();
         assert!(state.is_open());
-        let Driver { notes, client, _handle } = driver;
+        let Driver { notes, client, handle: _handle } = driver;
         assert!(matches!(client.answer().await.0, Answer::Refused { .. }));
         assert!(!state.is_open());
         settle().await;
@@ -148,3 +148,29 @@
     };
     tokio::task::LocalSet::new().run_until(story).await;
 }
+
+/// Hundreds of requests whose time ends in one instant, with attempts out that never end: each has its answer by then.
+#[tokio::test(start_paused = true)]
+async fn many_requests_that_end_in_one_instant_are_each_answered_in_time() {
+    const REQUESTS: usize = 500;
+    const ANSWER_SLACK: Micros = 16_000;
+    let story = async {
+        let driver = Driver::start(Settings { answer_slack: ANSWER_SLACK, ..settings() }, 600_000_000).await;
+        let handle = driver.handle.clone();
+        let deadline = handle.clock.now() + 2_000_000;
+        let mut waiting = Vec::new();
+        for _ in 0..REQUESTS {
+            let (client, clock) = (handle.ask(ask(deadline), call()), handle.clock);
+            waiting.push(tokio::task::spawn_local(async move {
+                let (answer, _presence) = client.answer().await;
+                (matches!(answer, Answer::Refused { .. }), clock.now())
+            }));
+        }
+        for client in waiting {
+            let (is_refused, at) = client.await.unwrap();
+            // The runtime's timers are good to a millisecond.
+            assert!(is_refused && at <= deadline + ANSWER_SLACK + 1_000, "{} us late", at - deadline);
+        }
+    };
+    tokio::task::LocalSet::new().run_until(story).await;
+}
