Take what is left of an answered request's body while its connection closes

Cause, of this work's own making: since closing reads nothing any more, a client that sends the body of a request that has been refused already, and reads only behind it, stood still with the system's buffer full and was reset after a second, before it had read the refusal. Line at fault: net/connection.rs `close`.

connections `a_client_that_reads_only_behind_its_whole_body...` fails without the change (broken pipe after 1 s).

--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -7,7 +7,7 @@
 
 use super::Local;
 use super::client_socket::{ClientSocket, Eviction, GatedSocket, Phase};
-use super::server::{Answering, Stage};
+use super::server::{Answering, MOST_BODY, Stage};
 use super::socket::Socket;
 use crate::counters::Counters;
 use hyper::body::Incoming;
@@ -18,6 +18,7 @@
 use std::future::poll_fn;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::io::AsyncReadExt;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -39,6 +40,8 @@
 const LINGER_EVICTED: Duration = Duration::from_millis(200);
 /// Bytes that have arrived reach hyper within this.
 const UNREAD_RECHECK: Duration = Duration::from_millis(1);
+/// Bytes of an answered request that are read and dropped meanwhile.
+const MAX_DISCARDED: usize = 2 * MOST_BODY;
 /// For a request that did not come in time.
 const TOO_SLOW: &[u8] = b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 
@@ -182,12 +185,29 @@
     }
 }
 
-/// Ends the sending side, then waits until the client has closed, and takes nothing in any more.
-async fn close(client: &ClientSocket) {
+/// Ends the sending side, then waits until the client has closed. What is left of a request that has been answered is
+/// read and dropped, or its client might be reset while it sends; nothing behind it is read.
+async fn close(client: &Rc<ClientSocket>) {
     let _ = Socket(client.stream().clone()).end();
-    client.left().await;
+    tokio::select! {
+        () = client.left() => {}
+        () = discard_answered_request(client) => {}
+    }
     // A client that has only ended its sending may still be reading: over unread bytes it would be reset.
     if client.has_unread() {
         std::future::pending().await
     }
 }
+
+/// Reads and drops the rest of a body whose request has been answered; does not end by itself.
+async fn discard_answered_request(client: &Rc<ClientSocket>) {
+    let mut socket = GatedSocket::new(client.clone());
+    let (mut scrap, mut left) = (vec![0; 8 * 1024], MAX_DISCARDED);
+    while client.is_spent() && left > 0 {
+        match socket.read(&mut scrap).await {
+            Ok(bytes) if bytes > 0 => left = left.saturating_sub(bytes),
+            _ => break,
+        }
+    }
+    std::future::pending().await
+}
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -186,3 +186,29 @@
     })
     .await;
 }
+
+/// Guards against a client that is reset while it still sends the body of a request that has been refused: it would
+/// never read the refusal. What is left of that body is taken, and nothing behind it.
+#[tokio::test]
+async fn a_client_that_reads_only_behind_its_whole_body_hears_its_refusal() {
+    on_one_thread(async {
+        let server = Server::start_with(Options { bound: 0, ..Options::default() }).await.run();
+        let mut client = blocking(server.connect().await);
+        // What the system of the client takes in one go must not be all of it.
+        socket2::SockRef::from(&client).set_send_buffer_size(4 * 1024).unwrap();
+        let body = "x".repeat(256 * 1024);
+        let (told, answer) = tokio::sync::oneshot::channel();
+        std::thread::spawn(move || {
+            let sent = client.write_all(request("id-1", "send", &body).as_bytes()).is_ok();
+            let further = client.write_all(request("id-2", "send", "hello").as_bytes()).is_ok();
+            let answer = rest(&mut client);
+            let _ = told.send((sent && further, answer, client));
+        });
+        let (sent, answer, client) = answer.await.unwrap();
+        assert!(sent && answer.starts_with("HTTP/1.1 503"), "{answer}");
+        server.all_closed().await;
+        let error = client.take_error().unwrap();
+        assert!(error.is_some(), "the second request was read");
+    })
+    .await;
+}
