Split the server side by job, and name its bounds

net::service holds what clients ask, net::connections the open ones and their eviction; net::server accepts.

--- a/src/front/jsonrpc.rs
+++ b/src/front/jsonrpc.rs
@@ -12,7 +12,7 @@
 use crate::exchange::{Answer, Call, Feed, Frame, Presence};
 use crate::interface::{Ask, RequestId};
 use crate::net::client_socket::ClientSocket;
-use crate::net::server::{MOST_BODY, Shared};
+use crate::net::service::{MAX_BODY_BYTES, Shared};
 use crate::net::{Local, is_plain_id};
 use bytes::{Bytes, BytesMut};
 use hyper::header::{CONTENT_TYPE, HeaderValue};
@@ -518,7 +518,7 @@
             resume: params.resume.as_ref(),
         };
         let body = Bytes::from(encode(&prompt));
-        if body.len() > MOST_BODY {
+        if body.len() > MAX_BODY_BYTES {
             return Err(TOO_LONG);
         }
         let mut in_hand = self.take_in_hand(params.request.as_str().into(), params.resume.is_some())?;
--- a/src/main.rs
+++ b/src/main.rs
@@ -15,9 +15,11 @@
 use whinhaven::interface::ListKind;
 use whinhaven::net::budget::Budget;
 use whinhaven::net::client::Hosts;
+use whinhaven::net::connections::Connections;
 use whinhaven::net::discovery::{Directory, Follower, Pace, dial_tcp};
 use whinhaven::net::pool::{Pool, PoolLimits, REST};
-use whinhaven::net::server::{Connections, Edge, Listener, OVER, Shared, Stage};
+use whinhaven::net::server::{Listener, RESERVED_CONNECTIONS, Stage};
+use whinhaven::net::service::{RequestService, Shared};
 
 /// After SIGTERM new connections keep coming for up to 0.4 s; they are accepted for longer than that.
 const ACCEPT_ON: Duration = Duration::from_millis(700);
@@ -204,9 +206,9 @@
     let front = tools.clone();
     let (stage, stages) = watch::channel(Stage::Open);
     let open = Rc::new(Connections::default());
-    let bound = to_clients - OVER;
+    let bound = to_clients - RESERVED_CONNECTIONS;
     let accepting = Listener {
-        edge: Edge { shared: shared.clone(), tools },
+        service: RequestService { shared: shared.clone(), tools },
         bound,
         waiting: bound,
         stage: stages,
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -7,7 +7,8 @@
 
 use super::Local;
 use super::client_socket::{ClientSocket, Eviction, GatedSocket, Phase};
-use super::server::{Answering, MOST_BODY, Stage};
+use super::server::{Answering, Stage};
+use super::service::MAX_BODY_BYTES;
 use super::socket::Socket;
 use crate::counters::Counters;
 use hyper::body::Incoming;
@@ -41,7 +42,7 @@
 /// Bytes that have arrived reach hyper within this.
 const UNREAD_RECHECK: Duration = Duration::from_millis(1);
 /// Bytes of an answered request that are read and dropped meanwhile.
-const MAX_DISCARDED: usize = 2 * MOST_BODY;
+const MAX_DISCARDED: usize = 2 * MAX_BODY_BYTES;
 /// For a request that did not come in time.
 const TOO_SLOW: &[u8] = b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -5,11 +5,13 @@
 pub mod client;
 pub mod client_socket;
 pub mod connection;
+pub mod connections;
 pub mod discovery;
 pub mod events;
 pub mod framing;
 pub mod pool;
 pub mod server;
+pub mod service;
 pub mod socket;
 
 use std::pin::Pin;
--- /dev/null
+++ b/src/net/service.rs
@@ -0,0 +1,206 @@
+//! What clients ask of the router: paths, bounds of bodies, and requests on their way to the core and back.
+
+use super::Local;
+use super::budget::{Budget, Held};
+use super::client_socket::ClientSocket;
+use super::server::Stage;
+use crate::core::CoreHandle;
+use crate::counters::Counters;
+use crate::exchange::Call;
+use crate::front::jsonrpc;
+use crate::front::platform::{self, AnswerBody, plain};
+use crate::interface::Micros;
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+use hyper::{Method, Request, Response, StatusCode};
+use std::any::Any;
+use std::cell::RefCell;
+use std::collections::HashSet;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use tokio::sync::watch;
+use tower::Service;
+
+/// No body is longer.
+pub const MAX_BODY_BYTES: usize = 256 * 1024;
+/// Advice to clients that came when there was no room.
+pub const RETRY_AFTER: Micros = 500_000;
+
+/// What all connections of the edge share.
+pub struct Shared {
+    /// The core.
+    pub core: CoreHandle,
+    /// Classes that the settings name.
+    pub classes: Vec<String>,
+    /// Whether the conductor can serve.
+    pub ready: Box<dyn Fn() -> bool>,
+    /// Counters.
+    pub counters: Rc<Counters>,
+    /// Bytes of bodies that may be held at once.
+    pub budget: Rc<Budget>,
+    /// Ids in hand.
+    pub ids: RefCell<HashSet<String>>,
+}
+
+/// An id in hand, free again when dropped.
+struct IdInUse(Rc<Shared>, String);
+
+impl Drop for IdInUse {
+    fn drop(&mut self) {
+        self.0.ids.borrow_mut().remove(&self.1);
+    }
+}
+
+/// The tower service that clients reach.
+#[derive(Clone)]
+pub struct RequestService {
+    /// What all connections share.
+    pub shared: Rc<Shared>,
+    /// The tool-call front, if configured.
+    pub tools: Option<Rc<jsonrpc::Front>>,
+}
+
+impl RequestService {
+    fn bad(&self, status: StatusCode, text: &'static str) -> Response<AnswerBody> {
+        self.shared.counters.bad_requests.up();
+        log::debug!("bad request: {text}");
+        plain(status, text)
+    }
+
+    async fn respond(self, arrival: Arrival) -> Response<AnswerBody> {
+        let Arrival { request, client, stage } = arrival;
+        if !client.is_next_head_sound() {
+            return self.bad(StatusCode::BAD_REQUEST, "ambiguous framing\n");
+        }
+        let path = request.uri().path();
+        if path == "/healthz" && request.method() == Method::GET {
+            let ready = (self.shared.ready)();
+            return if ready {
+                plain(StatusCode::OK, "ready\n")
+            } else {
+                plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n")
+            };
+        }
+        if let Some(front) = self.tools.clone().filter(|f| f.path == path) {
+            if request.method() != Method::POST {
+                return self.bad(StatusCode::METHOD_NOT_ALLOWED, "wrong method\n");
+            }
+            return match self.body(request.into_body(), &client).await {
+                Ok((body, _held)) => front.respond(body, &client).await,
+                Err(response) => response,
+            };
+        }
+        match (path, request.method()) {
+            (platform::PATH, &Method::POST) => self.platform(request, &client, &stage).await,
+            (platform::PATH | "/healthz", _) => self.bad(StatusCode::METHOD_NOT_ALLOWED, "wrong method\n"),
+            _ => self.bad(StatusCode::NOT_FOUND, "no such path\n"),
+        }
+    }
+
+    async fn platform(
+        self,
+        request: Request<Incoming>,
+        client: &Rc<ClientSocket>,
+        stage: &watch::Receiver<Stage>,
+    ) -> Response<AnswerBody> {
+        let shared = self.shared.clone();
+        let (head, body) = request.into_parts();
+        let mut intake = match platform::decode(&head.headers, shared.core.clock.ago(client.waited())) {
+            Ok(intake) => intake,
+            Err(what) => return self.bad(StatusCode::BAD_REQUEST, what),
+        };
+        if !shared.classes.contains(&intake.ask.class) {
+            return self.bad(StatusCode::BAD_REQUEST, "unknown class\n");
+        }
+        let (body, held) = match self.body(body, client).await {
+            Ok(body) => body,
+            Err(response) => return response,
+        };
+        if !intake.stated {
+            // One token is four characters.
+            intake.ask.prompt_tokens = body.len() as u64 / 4;
+        }
+        // Its request may have waited behind an earlier one, or to be accepted.
+        if client.has_left() {
+            shared.counters.clients_left.up();
+            return platform::refusal(None);
+        }
+        // The process may end before the deadline of what comes this late; nothing is lost if it is sent elsewhere.
+        if *stage.borrow() == Stage::Closing {
+            shared.counters.refused_at_shutdown.up();
+            return platform::refusal(Some(RETRY_AFTER));
+        }
+        // Model hosts tell requests apart by their ids: two at once under one would share what is held. An id is in
+        // hand until the last attempt and release of its request are over, or another client could send a second
+        // copy of a request whose stream still runs.
+        if !shared.ids.borrow_mut().insert(intake.id.clone()) {
+            return self.bad(StatusCode::CONFLICT, "a request with this id is in hand\n");
+        }
+        let in_hand = IdInUse(shared.clone(), intake.id.clone());
+        let target = head.uri.path_and_query().map_or(platform::PATH, |p| p.as_str()).to_owned();
+        let keeps: Option<Rc<dyn Any>> = Some(Rc::new((in_hand, held)));
+        let headers = platform::end_to_end(head.headers);
+        let call = Call { id: intake.id, target, headers, body, client: client.connection(), keeps };
+        let answering = shared.core.ask(intake.ask, call);
+        let (answer, presence) = answering.answer_unless_left(client.left()).await;
+        platform::encode(answer, presence)
+    }
+
+    /// Reads a body whole, within the bounds of its length and of what all bodies may take. Its time is bounded
+    /// by the connection's supervisor.
+    async fn body(
+        &self,
+        mut body: Incoming,
+        client: &ClientSocket,
+    ) -> Result<(Bytes, Held), Response<AnswerBody>> {
+        let too_long = || self.bad(StatusCode::PAYLOAD_TOO_LARGE, "body too long\n");
+        if body.size_hint().lower() > MAX_BODY_BYTES as u64 {
+            return Err(too_long());
+        }
+        let (mut whole, mut held) = (BytesMut::new(), Held::new(self.shared.budget.clone()));
+        while let Some(frame) = body.frame().await {
+            let Ok(frame) = frame else { return Err(self.bad(StatusCode::BAD_REQUEST, "body broken\n")) };
+            let Ok(data) = frame.into_data() else { continue };
+            if whole.len() + data.len() > MAX_BODY_BYTES {
+                return Err(too_long());
+            }
+            if !held.grow(data.len()) {
+                self.shared.counters.over_bound.up();
+                return Err(platform::refusal(Some(RETRY_AFTER)));
+            }
+            whole.extend_from_slice(&data);
+        }
+        if client.has_excess() {
+            return Err(self.bad(StatusCode::BAD_REQUEST, "more bytes than the length says\n"));
+        }
+        client.request_is_whole();
+        Ok((whole.freeze(), held))
+    }
+}
+
+/// A request whose head has come, and the connection it comes on.
+pub struct Arrival {
+    /// The request.
+    pub request: Request<Incoming>,
+    /// Its connection.
+    pub client: Rc<ClientSocket>,
+    /// How far a graceful shutdown has come.
+    pub stage: watch::Receiver<Stage>,
+}
+
+impl Service<Arrival> for RequestService {
+    type Response = Response<AnswerBody>;
+    type Error = Infallible;
+    type Future = Local<Result<Self::Response, Infallible>>;
+
+    fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<Result<(), Infallible>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, arrival: Arrival) -> Self::Future {
+        let service = self.clone();
+        Box::pin(async move { Ok(service.respond(arrival).await) })
+    }
+}
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -11,7 +11,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::Instant;
-use whinhaven::net::server::{OVER, Stage};
+use whinhaven::net::server::{RESERVED_CONNECTIONS, Stage};
 
 /// How a connection comes to its end between two requests.
 #[derive(Clone, Copy)]
@@ -161,7 +161,7 @@
         let answer = String::from_utf8_lossy(&answer[..length]);
         assert!(answer.starts_with("HTTP/1.1 "), "{answer}");
         assert!(began.elapsed() < Duration::from_millis(20), "answered after {:?}", began.elapsed());
-        assert!(server.open.count() <= 4 + OVER + 1);
+        assert!(server.open.count() <= 4 + RESERVED_CONNECTIONS + 1);
     })
     .await;
 }
--- a/tests/support/server.rs
+++ b/tests/support/server.rs
@@ -11,7 +11,9 @@
 use whinhaven::exchange::{AnswerHandle, Call};
 use whinhaven::interface::{Ask, RequestId};
 use whinhaven::net::budget::Budget;
-use whinhaven::net::server::{Connections, Edge, Listener, Shared, Stage};
+use whinhaven::net::connections::Connections;
+use whinhaven::net::server::{Listener, Stage};
+use whinhaven::net::service::{RequestService, Shared};
 
 /// A request that asks whether the router is ready.
 pub const HEALTH: &[u8] = b"GET /healthz HTTP/1.1\r\nhost: a\r\n\r\n";
@@ -57,7 +59,7 @@
         let (stage, stages) = watch::channel(Stage::Open);
         let open = Rc::new(Connections::default());
         let accepting = Listener {
-            edge: Edge { shared: Rc::new(shared), tools: None },
+            service: RequestService { shared: Rc::new(shared), tools: None },
             bound: options.bound,
             waiting: 64,
             stage: stages,
