Rest until something comes while a client is there and silent

Cause, of this work's own making: the look for a client's close goes by the runtime's readiness, which stays set since a request is read to its exact end and no further. So each request in hand and each stream was looked at every 20 ms. Line at fault: net/client_socket.rs `left`. Now readiness is cleared where nothing waits.

connections `a_client_that_is_there_and_silent...` fails without the change: 501 looks in 10 s on paused time. Three tests of that file now run on paused time.

--- a/src/net/client_socket.rs
+++ b/src/net/client_socket.rs
@@ -11,7 +11,7 @@
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use rustix::net::{RecvFlags, recv};
 use std::cell::{Cell, RefCell};
-use std::io::{self, IoSlice};
+use std::io::{self, ErrorKind, IoSlice};
 use std::os::fd::AsFd;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -149,7 +149,12 @@
             if ready.is_read_closed() {
                 return;
             }
-            if self.has_unread() && self.next_waits_since.get().is_none() {
+            if !self.has_unread() {
+                // All has been read of what made the socket readable: the next event is waited for.
+                let _ = self.stream.try_io(Interest::READABLE, || Err::<(), _>(ErrorKind::WouldBlock.into()));
+                continue;
+            }
+            if self.next_waits_since.get().is_none() {
                 self.next_waits_since.set(Some(Instant::now()));
             }
             // Bytes that are left unread keep the socket readable.
@@ -290,7 +295,7 @@
             let available = ready!(client.poll_available(cx, buf.remaining()))?;
             ready!(client.stream.poll_read_ready(cx))?;
             match client.stream.try_read_buf(&mut (&mut *buf).limit(available)) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
                 Err(error) => return Poll::Ready(Err(error)),
                 Ok(_) => break,
             }
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -3,14 +3,18 @@
 mod support;
 
 use rstest::rstest;
+use std::future::poll_fn;
 use std::io::Write;
 use std::net::Shutdown;
+use std::pin::pin;
+use std::rc::Rc;
 use std::time::Duration;
 use support::request;
 use support::server::*;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::time::Instant;
+use whinhaven::net::client_socket::{ClientSocket, GatedSocket};
 use whinhaven::net::server::{RESERVED_CONNECTIONS, Stage};
 
 /// How a connection comes to its end between two requests.
@@ -30,7 +34,7 @@
 #[rstest]
 #[case::shutdown(End::Shutdown)]
 #[case::eviction(End::Eviction)]
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn a_request_that_crosses_the_close_of_a_resting_connection_is_not_read(#[case] end: End) {
     on_one_thread(async {
         let server = Server::start_with(Options { bound: 1, ..Options::default() }).await.run();
@@ -58,7 +62,7 @@
 
 /// Guards against a request that is swallowed together with the one before it, whose answer ends the connection; and
 /// against a reset that overtakes this answer.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn a_request_behind_one_whose_answer_ends_the_connection_is_not_read() {
     on_one_thread(async {
         let server = Server::start_with(Options { bound: 0, ..Options::default() }).await.run();
@@ -76,7 +80,7 @@
 }
 
 /// Guards against a request that is read and closed over, because what stands behind it can't be read.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn a_request_in_front_of_what_is_no_request_is_answered() {
     on_one_thread(async {
         let mut server = Server::start().await.run();
@@ -212,3 +216,23 @@
     })
     .await;
 }
+
+/// Guards against a look that never rests: a request in hand whose client is there costs nothing until something comes.
+#[tokio::test(start_paused = true)]
+async fn a_client_that_is_there_and_silent_is_not_looked_at_again_and_again() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let mut client = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+    let socket = ClientSocket::new(Rc::new(listener.accept().await.unwrap().0));
+    client.write_all(HEALTH).await.unwrap();
+    let mut request = vec![0; HEALTH.len()];
+    GatedSocket::new(socket.clone()).read_exact(&mut request).await.unwrap();
+    let (mut left, mut looks) = (pin!(socket.left()), 0);
+    let waiting = poll_fn(|cx| {
+        looks += 1;
+        left.as_mut().poll(cx)
+    });
+    assert!(tokio::time::timeout(Duration::from_secs(10), waiting).await.is_err(), "the client is there");
+    assert!(looks <= 3, "{looks} looks");
+    drop(client);
+    socket.left().await;
+}
