Add a randomized fault soak of real router processes, with an oracle

New workspace crates, none of them part of the router's own build: fault-plan and fault-shim (LD_PRELOAD: accept, socket, connect, recv, send, writev, poll, read, write and the wall clock, by a control block that can be changed while the process runs); emulator (workers, the network between each router and each worker, discovery agents, well-behaved and misbehaving clients, one history of what they saw); soak (a deployment and overlapping troubles drawn from a seed, and an oracle with one check a promise).

--- /dev/null
+++ b/crates/fault-shim/src/lib.rs
@@ -0,0 +1,221 @@
+//! A library for `LD_PRELOAD` that makes system calls of a process under test fail as Linux documents.
+//!
+//! It reads its orders from the control block of [`fault_plan`], named by [`fault_plan::CONTROL_VARIABLE`], and does
+//! nothing without one. Only sockets of the Internet family, regular files and standard error are touched.
+
+mod control;
+mod real;
+
+use control::{happens, wall_clock_offset};
+use fault_plan::Fault;
+use libc::{c_int, c_void, iovec, pollfd, size_t, sockaddr, socklen_t, ssize_t, timespec};
+
+const NANOSECONDS: i64 = 1_000_000_000;
+const NANOSECONDS_PER_MICROSECOND: i64 = 1_000;
+
+/// Fails a call with this error number.
+fn fail(errno: c_int) -> c_int {
+    // SAFETY: the location of the calling thread's own error number.
+    unsafe { *libc::__errno_location() = errno };
+    -1
+}
+
+/// The error number of the first fault that happens to a call, of those it may meet.
+fn first_failure(faults: &[(Fault, c_int)]) -> Option<c_int> {
+    faults.iter().find(|(fault, _)| happens(*fault)).map(|(_, errno)| *errno)
+}
+
+/// Whether a descriptor is a TCP or UDP socket over IPv4 or IPv6.
+fn is_internet_socket(fd: c_int) -> bool {
+    let (mut domain, mut length): (c_int, socklen_t) = (0, size_of::<c_int>() as socklen_t);
+    // SAFETY: both pointers are to live locals of the sizes that the option wants.
+    let result = unsafe {
+        libc::getsockopt(fd, libc::SOL_SOCKET, libc::SO_DOMAIN, (&raw mut domain).cast(), &raw mut length)
+    };
+    result == 0 && (domain == libc::AF_INET || domain == libc::AF_INET6)
+}
+
+fn is_regular_file(fd: c_int) -> bool {
+    // SAFETY: `stat` is plain data, for which all zeros are a valid value; fstat fills it.
+    let mut stat: libc::stat = unsafe { std::mem::zeroed() };
+    // SAFETY: the pointer is to a live local.
+    unsafe { libc::fstat(fd, &raw mut stat) == 0 && stat.st_mode & libc::S_IFMT == libc::S_IFREG }
+}
+
+/// A part of a length, at least one byte.
+fn part(length: size_t) -> size_t {
+    length.div_ceil(3).max(1)
+}
+
+/// Replaces accept4(2).
+///
+/// # Safety
+/// As accept4(2) asks.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn accept4(
+    fd: c_int,
+    address: *mut sockaddr,
+    length: *mut socklen_t,
+    flags: c_int,
+) -> c_int {
+    let failure = first_failure(&[
+        (Fault::AcceptAborted, libc::ECONNABORTED),
+        (Fault::AcceptFileTableFull, libc::ENFILE),
+        (Fault::AcceptNoBuffers, libc::ENOBUFS),
+    ]);
+    match failure.filter(|_| is_internet_socket(fd)) {
+        Some(errno) => fail(errno),
+        // SAFETY: the caller's arguments, unchanged.
+        None => unsafe { real::accept4(fd, address, length, flags) },
+    }
+}
+
+/// Replaces socket(2).
+///
+/// # Safety
+/// As socket(2) asks.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn socket(domain: c_int, kind: c_int, protocol: c_int) -> c_int {
+    if domain == libc::AF_INET && happens(Fault::SocketFileTableFull) {
+        return fail(libc::ENFILE);
+    }
+    // SAFETY: the caller's arguments, unchanged.
+    unsafe { real::socket(domain, kind, protocol) }
+}
+
+/// Replaces connect(2).
+///
+/// # Safety
+/// As connect(2) asks.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn connect(fd: c_int, address: *const sockaddr, length: socklen_t) -> c_int {
+    let failure = first_failure(&[
+        (Fault::ConnectNoAddress, libc::EADDRNOTAVAIL),
+        (Fault::ConnectUnreachable, libc::ENETUNREACH),
+        (Fault::ConnectNoBuffers, libc::ENOBUFS),
+    ]);
+    match failure.filter(|_| is_internet_socket(fd)) {
+        Some(errno) => fail(errno),
+        // SAFETY: the caller's arguments, unchanged.
+        None => unsafe { real::connect(fd, address, length) },
+    }
+}
+
+/// Replaces recv(2).
+///
+/// # Safety
+/// As recv(2) asks.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn recv(fd: c_int, buffer: *mut c_void, length: size_t, flags: c_int) -> ssize_t {
+    if happens(Fault::ReadInterrupted) && is_internet_socket(fd) {
+        return fail(libc::EINTR) as ssize_t;
+    }
+    let is_read = flags & libc::MSG_PEEK == 0;
+    let short = is_read && length > 1 && happens(Fault::ShortRead) && is_internet_socket(fd);
+    let length = if short { part(length.min(64)) } else { length };
+    // SAFETY: the caller's buffer, of which no more is used than the caller granted.
+    unsafe { real::recv(fd, buffer, length, flags) }
+}
+
+/// Replaces send(2).
+///
+/// # Safety
+/// As send(2) asks.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn send(fd: c_int, buffer: *const c_void, length: size_t, flags: c_int) -> ssize_t {
+    if let Some(errno) = write_failure(fd) {
+        return fail(errno) as ssize_t;
+    }
+    let short = length > 1 && happens(Fault::ShortWrite) && is_internet_socket(fd);
+    let length = if short { part(length) } else { length };
+    // SAFETY: the caller's buffer, of which no more is used than the caller granted.
+    unsafe { real::send(fd, buffer, length, flags) }
+}
+
+/// Replaces writev(2).
+///
+/// # Safety
+/// As writev(2) asks.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn writev(fd: c_int, buffers: *const iovec, count: c_int) -> ssize_t {
+    if let Some(errno) = write_failure(fd) {
+        return fail(errno) as ssize_t;
+    }
+    if count > 0 && happens(Fault::ShortWrite) && is_internet_socket(fd) {
+        // SAFETY: the caller grants `count` buffers, at least one.
+        let first = unsafe { *buffers };
+        if first.iov_len > 1 {
+            // SAFETY: a part of the caller's first buffer.
+            return unsafe { real::send(fd, first.iov_base, part(first.iov_len), libc::MSG_NOSIGNAL) };
+        }
+    }
+    // SAFETY: the caller's arguments, unchanged.
+    unsafe { real::writev(fd, buffers, count) }
+}
+
+fn write_failure(fd: c_int) -> Option<c_int> {
+    let failure =
+        first_failure(&[(Fault::WriteInterrupted, libc::EINTR), (Fault::WriteNoBuffers, libc::ENOBUFS)]);
+    failure.filter(|_| is_internet_socket(fd))
+}
+
+/// Replaces poll(2).
+///
+/// # Safety
+/// As poll(2) asks.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn poll(fds: *mut pollfd, count: libc::nfds_t, timeout: c_int) -> c_int {
+    if happens(Fault::PollInterrupted) {
+        return fail(libc::EINTR);
+    }
+    // SAFETY: the caller's arguments, unchanged.
+    unsafe { real::poll(fds, count, timeout) }
+}
+
+/// Replaces read(2).
+///
+/// # Safety
+/// As read(2) asks.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn read(fd: c_int, buffer: *mut c_void, length: size_t) -> ssize_t {
+    if happens(Fault::FileReadFails) && is_regular_file(fd) {
+        return fail(libc::EIO) as ssize_t;
+    }
+    let short = length > 1 && happens(Fault::FileShortRead) && is_regular_file(fd);
+    let length = if short { part(length) } else { length };
+    // SAFETY: the caller's buffer, of which no more is used than the caller granted.
+    unsafe { real::read(fd, buffer, length) }
+}
+
+/// Replaces write(2).
+///
+/// # Safety
+/// As write(2) asks.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn write(fd: c_int, buffer: *const c_void, length: size_t) -> ssize_t {
+    if fd == libc::STDERR_FILENO && happens(Fault::LogFull) {
+        return fail(libc::ENOSPC) as ssize_t;
+    }
+    // SAFETY: the caller's arguments, unchanged.
+    unsafe { real::write(fd, buffer, length) }
+}
+
+/// Replaces clock_gettime(2): the wall clock may be off.
+///
+/// # Safety
+/// As clock_gettime(2) asks.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn clock_gettime(clock: libc::clockid_t, time: *mut timespec) -> c_int {
+    // SAFETY: the caller's arguments, unchanged.
+    let result = unsafe { real::clock_gettime(clock, time) };
+    let offset = wall_clock_offset();
+    if result == 0 && clock == libc::CLOCK_REALTIME && offset != 0 {
+        // SAFETY: the call has filled it in.
+        let now = unsafe { *time };
+        let nanoseconds = now.tv_sec * NANOSECONDS + now.tv_nsec + offset * NANOSECONDS_PER_MICROSECOND;
+        let (tv_sec, tv_nsec) = (nanoseconds.div_euclid(NANOSECONDS), nanoseconds.rem_euclid(NANOSECONDS));
+        // SAFETY: the caller's own structure.
+        unsafe { *time = timespec { tv_sec, tv_nsec } };
+    }
+    result
+}
--- /dev/null
+++ b/crates/soak/src/report.rs
@@ -0,0 +1,118 @@
+//! What a run found, for people to read.
+
+use crate::oracle::{Promise, Summary, Violation};
+use crate::run::Finished;
+use emulator::clock::{MILLISECOND, Micros};
+use emulator::history::{Entry, Record, RequestName};
+use std::collections::BTreeMap;
+use std::fmt::Write;
+
+/// Violations of one promise that are shown in full.
+const SHOWN_IN_FULL: usize = 2;
+/// Violations of one promise that are listed.
+const LISTED: usize = 12;
+
+/// The report of a run.
+pub fn text(finished: &Finished, entries: &[Entry], violations: &[Violation], summary: &Summary) -> String {
+    let mut out = String::new();
+    let start = entries.first().map_or(0, |entry| entry.at);
+    let _ = writeln!(out, "seed {}: {}", finished.seed, headline(violations, summary));
+    let _ = writeln!(out, "{:?}", finished.world.deployment);
+    for planned in &finished.plan {
+        let (from, until) = (planned.from / MILLISECOND, planned.until / MILLISECOND);
+        let _ = writeln!(out, "  {from:>6} to {until:>6} ms  {:?}", planned.trouble);
+    }
+    for entry in entries {
+        if let Record::HarnessLate { by } = entry.record {
+            let _ = writeln!(
+                out,
+                "  {:>6} ms  the harness was {} ms late",
+                since(start, entry.at),
+                by / MILLISECOND
+            );
+        }
+    }
+    let mut by_promise: BTreeMap<Promise, Vec<&Violation>> = BTreeMap::new();
+    for violation in violations {
+        by_promise.entry(violation.promise).or_default().push(violation);
+    }
+    for (promise, all) in by_promise {
+        let _ = writeln!(out, "\n== {promise:?}: {}", all.len());
+        for violation in all.iter().take(LISTED) {
+            let _ = writeln!(out, "  {:>8} ms  {violation}", since(start, violation.at));
+        }
+        for violation in all.iter().take(SHOWN_IN_FULL) {
+            write_story(&mut out, finished, entries, start, violation);
+        }
+    }
+    out
+}
+
+/// A run in one line.
+pub fn headline(violations: &[Violation], summary: &Summary) -> String {
+    let mut counts: BTreeMap<Promise, (usize, usize)> = BTreeMap::new();
+    for violation in violations {
+        let (all, doubtful) = counts.entry(violation.promise).or_default();
+        *all += 1;
+        *doubtful += usize::from(violation.is_doubtful);
+    }
+    let list = |(promise, (all, doubtful)): (&Promise, &(usize, usize))| match doubtful {
+        0 => format!("{promise:?} {all}"),
+        _ => format!("{promise:?} {all} ({doubtful} doubtful)"),
+    };
+    let found = if counts.is_empty() {
+        "no violation".to_owned()
+    } else {
+        counts.iter().map(list).collect::<Vec<_>>().join(", ")
+    };
+    let (held_back, streams) = summary.held_back;
+    let recovered = summary.recovered_share;
+    format!(
+        "{found}; {:?}; recovered {recovered:.3}; {held_back} of {streams} streams held back",
+        summary.outcomes
+    )
+}
+
+fn since(start: Micros, at: Micros) -> u64 {
+    at.saturating_sub(start) / MILLISECOND
+}
+
+/// All that is known of the request of a violation, and what went on around it.
+fn write_story(
+    out: &mut String,
+    finished: &Finished,
+    entries: &[Entry],
+    start: Micros,
+    violation: &Violation,
+) {
+    let Some(request) = &violation.request else { return };
+    let _ = writeln!(out, "\n  -- {violation}");
+    for entry in entries.iter().filter(|entry| is_about(&entry.record, request)) {
+        let _ = writeln!(out, "     {:>8} ms  {:?}", since(start, entry.at), entry.record);
+    }
+    let log = &finished.world.routers[violation.router].log;
+    for line in log.lines_with(request) {
+        let _ = writeln!(out, "     {:>8} ms  log: {}", since(start, line.at), line.text);
+    }
+}
+
+fn is_about(record: &Record, request: &RequestName) -> bool {
+    match record {
+        Record::RequestBegun { request: name, .. }
+        | Record::RequestSent { request: name, .. }
+        | Record::ClientLeft { request: name }
+        | Record::AnswerBegun { request: name, .. }
+        | Record::FirstEvent { request: name }
+        | Record::AnswerEnded { request: name, .. }
+        | Record::Unanswered { request: name, .. }
+        | Record::NothingHeard { request: name }
+        | Record::CallBegun { request: name, .. }
+        | Record::CallArrived { request: name, .. }
+        | Record::CallAnswered { request: name, .. }
+        | Record::StreamBegun { request: name, .. }
+        | Record::CacheHeld { request: name, .. }
+        | Record::CacheGone { request: name } => name == request,
+        Record::TroubleBegun { .. } | Record::TroubleEnded { .. } => false,
+        _ => false,
+    }
+}
