--- a/crates/fault-plan/src/lib.rs
+++ b/crates/fault-plan/src/lib.rs
@@ -24,6 +24,9 @@
 const FIRST_PROBABILITY: usize = 1;
 const FIRST_COUNT: usize = 32;
 
+/// The bit that marks a period in place of a probability: every so many-th call fails.
+pub const PERIOD_BIT: u64 = 1 << 63;
+
 /// A failure that the shim brings about at a system call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
@@ -119,6 +122,15 @@
         self.write_word(fault.probability_word(), millionths)
     }
 
+    /// Lets a fault happen at every `period`-th call that it may happen to; at none where that is 0.
+    ///
+    /// # Errors
+    /// The file can't be written.
+    pub fn set_period(&self, fault: Fault, period: u64) -> io::Result<()> {
+        let word = if period == 0 { 0 } else { period | PERIOD_BIT };
+        self.write_word(fault.probability_word(), word)
+    }
+
     /// Sets by how many microseconds the wall clock of the process is off.
     ///
     /// # Errors
--- a/crates/fault-shim/src/control.rs
+++ b/crates/fault-shim/src/control.rs
@@ -1,6 +1,6 @@
 //! The shim's side of the control block, mapped into the process when it starts.
 
-use fault_plan::{BLOCK_BYTES, CERTAIN, CONTROL_VARIABLE, Fault, WALL_CLOCK_WORD, WORDS};
+use fault_plan::{BLOCK_BYTES, CERTAIN, CONTROL_VARIABLE, Fault, PERIOD_BIT, WALL_CLOCK_WORD, WORDS};
 use std::ffi::CString;
 use std::os::unix::ffi::OsStrExt;
 use std::sync::OnceLock;
@@ -9,6 +9,8 @@
 type Block = [AtomicU64; WORDS];
 
 static BLOCK: OnceLock<&'static Block> = OnceLock::new();
+/// Calls so far that a fault with a period may have happened to.
+static CALLS: [AtomicU64; Fault::ALL.len()] = [const { AtomicU64::new(0) }; Fault::ALL.len()];
 static DRAWS: AtomicU64 = AtomicU64::new(0);
 
 #[used]
@@ -48,8 +50,16 @@
 /// Draws whether a fault happens now, and counts it if so.
 pub fn happens(fault: Fault) -> bool {
     let Some(block) = BLOCK.get() else { return false };
-    let probability = block[fault.probability_word()].load(Ordering::Relaxed);
-    if probability == 0 || draw() % CERTAIN >= probability {
+    let word = block[fault.probability_word()].load(Ordering::Relaxed);
+    let is_due = match word {
+        0 => false,
+        period if period & PERIOD_BIT != 0 => {
+            let call = CALLS[fault as usize].fetch_add(1, Ordering::Relaxed) + 1;
+            call.is_multiple_of(period & !PERIOD_BIT)
+        }
+        probability => draw() % CERTAIN < probability,
+    };
+    if !is_due {
         return false;
     }
     block[fault.count_word()].fetch_add(1, Ordering::Relaxed);
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,9 +2,11 @@
 #![allow(dead_code)]
 
 pub mod server;
+pub mod shim;
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex, mpsc};
 use std::thread;
@@ -222,6 +224,11 @@
 
     /// Starts it where the system grants no more than so many descriptors.
     pub fn start_within(descriptors: usize, operator_file: &str) -> Conductor {
+        Conductor::start_in(descriptors, operator_file, &[])
+    }
+
+    /// Starts it with more in its environment.
+    pub fn start_in(descriptors: usize, operator_file: &str, environment: &[(&str, &Path)]) -> Conductor {
         static NUMBER: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
         let number = NUMBER.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
         let file = std::env::temp_dir().join(format!("whinhaven-{}-{number}.toml", std::process::id()));
@@ -229,6 +236,7 @@
         let mut child = Command::new("sh")
             .args(["-c", "ulimit -n $0; exec \"$@\"", &descriptors.to_string()])
             .args([env!("CARGO_BIN_EXE_whinhaven"), "serve", file.to_str().unwrap()])
+            .envs(environment.iter().copied())
             .stderr(Stdio::piped())
             .spawn()
             .unwrap();
