Release a prefill's state at its limit, also under an attempt that is not answered

Cause: an attempt counted as out from the moment it was decided until the router stopped waiting for it, and every outcome but a failed connect began the limit of the held state anew. A send over a connection that has fallen silent reaches nobody, and nothing says so; the state stayed at its prefill worker for as long as the router waited, seconds in place of 0.8 s.

Change: core::held follows the state by what outcomes prove (an answer proves arrival, silence does not), and the driver releases it at the limit, whatever the policy waits for. Workers keep a state for which an attempt waits, so an attempt that has arrived loses nothing; one just sent has 0.15 s to arrive first. The policy is unchanged.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -3,10 +3,13 @@
 //! It knows no wire. Requests come in through a [`CoreHandle`], what goes out goes through [`Outbound`], and
 //! how it went comes back as [`Input`]. Everything runs on one thread and in the order of one queue.
 
+mod held;
+
 use crate::counters::Counters;
 use crate::exchange::{AnswerHandle, Call, Feed, RequestState, ServerSide, open};
 use crate::interface::*;
 use crate::policy::Policy;
+use held::HeldState;
 use std::cell::Cell;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
@@ -235,6 +238,7 @@
     state: RequestState,
     class_safe: bool,
     attempts: Vec<Slot>,
+    held: HeldState,
     releasing: Option<Rc<Releasing>>,
 }
 
@@ -267,6 +271,8 @@
     Timer(TimerId),
     /// The last moment for the answer to a request, whatever the module does.
     Guard(RequestId),
+    /// The last moment for the release of what is held for a request.
+    HeldState(RequestId),
 }
 
 /// The driver of one module.
@@ -333,6 +339,7 @@
             match self.due.pop() {
                 Some(Reverse((_, Due::Timer(timer)))) => self.handle(Event::Timer(timer)),
                 Some(Reverse((_, Due::Guard(request)))) => self.guard(request),
+                Some(Reverse((_, Due::HeldState(request)))) => self.check_held_state(request, now),
                 None => {}
             }
         }
@@ -374,6 +381,7 @@
             answer: Some(answer),
             class_safe,
             attempts: Vec::new(),
+            held: HeldState::default(),
             releasing: None,
         };
         self.open.insert(request, open);
@@ -383,7 +391,7 @@
         if self.due.len() > 2 * self.open.len() + MOST_DUE {
             self.due.retain(|Reverse((_, due))| match due {
                 Due::Timer(_) => true,
-                Due::Guard(request) => self.open.contains_key(request),
+                Due::Guard(request) | Due::HeldState(request) => self.open.contains_key(request),
             });
         }
         self.handle(Event::Ask(ask));
@@ -409,6 +417,7 @@
         }
         slot.streaming = true;
         let sent = slot.sent;
+        open.held.let_go();
         let Some(answer) = open.take_answer() else { return };
         let elapsed = self.clock.now().saturating_sub(sent);
         log::debug!("request {}: attempt {} streams after {elapsed} us", open.call.id, attempt.0);
@@ -434,7 +443,10 @@
         };
         slot.outcome = Some(outcome);
         slot.cancel = None;
-        let elapsed = self.clock.now().saturating_sub(slot.sent);
+        let now = self.clock.now();
+        let elapsed = now.saturating_sub(slot.sent);
+        open.held.attempt_ended(outcome, now);
+        let release_due = open.held.release_due(self.settings.release);
         log::debug!(
             "request {}: attempt {} ended {outcome:?} after {elapsed} us, {kept} kept",
             open.call.id,
@@ -454,6 +466,7 @@
             Outcome::NotSent => &c.ended_not_sent,
         };
         count.up();
+        self.due.extend(release_due.map(|at| Reverse((at, Due::HeldState(request)))));
         self.handle(Event::Ended(Ended { request, attempt, outcome, elapsed, settled, kept, report }));
         self.forget(request);
     }
@@ -586,6 +599,7 @@
             until.saturating_sub(now)
         );
         let after = open.releasing.take();
+        open.held.attempt_sent(now);
         self.outbound.send(Attempt {
             request,
             state: open.state.clone(),
@@ -601,7 +615,29 @@
         });
     }
 
+    /// Releases what is held for a request if its limit is over, whatever the policy makes of it.
+    fn check_held_state(&mut self, request: RequestId, now: Micros) {
+        let Some(open) = self.open.get_mut(&request) else { return };
+        let Some(due) = open.held.release_due(self.settings.release) else { return };
+        if due > now {
+            self.due.push(Reverse((due, Due::HeldState(request))));
+            return;
+        }
+        log::debug!("request {}: what is held is released under an unanswered attempt", open.call.id);
+        self.counters.releases_unattended.up();
+        self.begin_release(request);
+        if let Some(open) = self.open.get_mut(&request) {
+            open.held.released_unattended();
+        }
+    }
+
     fn release(&mut self, request: RequestId) {
+        let Some(open) = self.open.get_mut(&request) else { return };
+        open.held.let_go();
+        self.begin_release(request);
+    }
+
+    fn begin_release(&mut self, request: RequestId) {
         let Some(open) = self.open.get_mut(&request) else { return };
         let releasing = Rc::<Releasing>::default();
         self.counters.releases.up();
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -93,6 +93,8 @@
     streams_broken,
     /// Calls that let go of held states.
     releases,
+    /// Releases of what was held under an attempt that was not answered.
+    releases_unattended,
     /// Releases that no model host took.
     releases_failed,
     /// Lists and changes of lists received.
