Decide on every error of a system call in one place, and of whom it speaks

Cause: every error but EAGAIN was taken for the end of whatever was at hand. An interrupted recv, send or poll ended its connection, with the request on it; a local failure of connect counted as the worker's and spent an attempt in the same instant; each failed accept evicted an idle client, and the first one ended the emptying of the queue at a shutdown; the runtime took a short read of the watch for all that had come, and the drain behind it was heard with the next line.

Change: net::failure decides for accept, connect and transfers; net::socket makes interrupted calls again, waits where the machine is short of memory (2 s at most), connects again until the connect timeout where the failure is local, and reads until the system says that nothing is left, on all sides, discovery's included.

--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -245,8 +245,8 @@
 
 async fn build(options: &Options, deployment: Deployment) -> io::Result<Arc<World>> {
     let history = History::default();
-    // Runs beside each other use other addresses.
-    let network = Network(2 + (std::process::id() % 250) as u8);
+    // Runs beside each other, or one after another, use other addresses.
+    let network = Network(2 + ((u64::from(std::process::id()) + options.seed) % 250) as u8);
     let fleet = Fleet::start(network, deployment.routers, history.clone()).await?;
     let roles = std::iter::repeat_n(Role::Prefill, deployment.prefill_workers)
         .chain(std::iter::repeat_n(Role::Decode, deployment.decode_workers));
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -41,6 +41,8 @@
 counters! {
     /// Client connections accepted.
     connections_in,
+    /// Accepts that failed.
+    accepts_failed,
     /// Client connections refused for want of sockets.
     connections_over_bound,
     /// Requests taken.
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -153,7 +153,10 @@
         };
         let mut connection = match connected {
             Ok(connection) => connection,
-            Err(ConnectError::OverBound) => return Outcome::NotSent.into(),
+            Err(error @ (ConnectError::OverBound | ConnectError::Machine(_))) => {
+                log::info!("request {}: not sent: {error}", attempt.call.id);
+                return Outcome::NotSent.into();
+            }
             Err(error) => {
                 log::info!("request {}: {} not reached: {error}", attempt.call.id, attempt.worker.0);
                 return Outcome::NoConnection.into();
--- a/src/net/client_socket.rs
+++ b/src/net/client_socket.rs
@@ -4,10 +4,10 @@
 //! What comes behind stays in the system's buffer: where it can't be answered any more it was never read, and its
 //! client may send it again elsewhere.
 
+use super::failure::{TransferFailure, transfer_failure};
 use super::framing::Framing;
-use super::socket::Socket;
+use super::socket::{Socket, uninterrupted};
 use crate::exchange::ClientConnection;
-use bytes::BufMut;
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use rustix::net::{RecvFlags, recv};
 use std::cell::{Cell, RefCell};
@@ -132,7 +132,7 @@
         const AT_ONCE: Timespec = Timespec { tv_sec: 0, tv_nsec: 0 };
         let mut fds = [PollFd::new(&*self.stream, PollFlags::RDHUP)];
         // An error of the call itself tells nothing of the client.
-        let _ = poll(&mut fds, Some(&AT_ONCE));
+        let _ = uninterrupted(|| Ok(poll(&mut fds, Some(&AT_ONCE))?));
         fds[0].revents().intersects(PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR)
     }
 
@@ -169,8 +169,9 @@
 
     /// Looks at bytes that have arrived, and leaves them where they are.
     fn peek(&self, bytes: &mut [u8]) -> usize {
-        recv(self.stream.as_fd(), bytes, RecvFlags::PEEK | RecvFlags::DONTWAIT)
-            .map_or(0, |(arrived, _)| arrived)
+        let flags = RecvFlags::PEEK | RecvFlags::DONTWAIT;
+        let arrived = uninterrupted(|| Ok(recv(self.stream.as_fd(), &mut *bytes, flags)?));
+        arrived.map_or(0, |(arrived, _)| arrived)
     }
 
     /// Whether bytes have arrived that were not read.
@@ -260,7 +261,11 @@
         }
         let mut bytes = [0; PEEK_BYTES];
         let mut arrived = ReadBuf::new(&mut bytes[..wanted.min(PEEK_BYTES)]);
-        ready!(self.stream.poll_peek(cx, &mut arrived))?;
+        while let Err(error) = ready!(self.stream.poll_peek(cx, &mut arrived)) {
+            if transfer_failure(&error) != TransferFailure::Interrupted {
+                return Poll::Ready(Err(error));
+            }
+        }
         Poll::Ready(Ok(self.framing.borrow().clone().take(arrived.filled())))
     }
 }
@@ -274,7 +279,7 @@
 impl GatedSocket {
     /// A client's socket.
     pub fn new(client: Rc<ClientSocket>) -> Self {
-        GatedSocket { socket: Socket(client.stream.clone()), client }
+        GatedSocket { socket: Socket::new(client.stream.clone()), client }
     }
 
     fn note_write<T>(&self, result: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
@@ -284,22 +289,19 @@
 }
 
 impl AsyncRead for GatedSocket {
-    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        let client = &self.client;
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let client = self.client.clone();
         if !client.gate_open.get() {
             client.reader.replace(Some(cx.waker().clone()));
             return Poll::Pending;
         }
         let before = buf.filled().len();
-        loop {
-            let available = ready!(client.poll_available(cx, buf.remaining()))?;
-            ready!(client.stream.poll_read_ready(cx))?;
-            match client.stream.try_read_buf(&mut (&mut *buf).limit(available)) {
-                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
-                Err(error) => return Poll::Ready(Err(error)),
-                Ok(_) => break,
-            }
-        }
+        let available = ready!(client.poll_available(cx, buf.remaining()))?;
+        ready!(self.socket.poll_read_up_to(cx, buf, available))?;
         client.handed(&buf.filled()[before..]);
         Poll::Ready(Ok(()))
     }
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -189,7 +189,7 @@
 /// Ends the sending side, then waits until the client has closed. What is left of a request that has been answered is
 /// read and dropped, or its client might be reset while it sends; nothing behind it is read.
 async fn close(client: &Rc<ClientSocket>) {
-    let _ = Socket(client.stream().clone()).end();
+    let _ = Socket::new(client.stream().clone()).end();
     tokio::select! {
         () = client.left() => {}
         () = discard_answered_request(client) => {}
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -1,6 +1,7 @@
 //! Discovery: the list of model hosts and the watch of its changes. While discovery is silent the list stands.
 
 use super::Local;
+use super::socket::{Socket, connect};
 use crate::core::{CoreHandle, Input};
 use crate::counters::Counters;
 use crate::interface::{Entry, Kind, ListKind, Role, Settings, Status, WorkerId};
@@ -19,7 +20,6 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite};
-use tokio::net::TcpStream;
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 use tower::{Service, ServiceExt};
@@ -245,7 +245,10 @@
 /// Connects over TCP.
 pub fn dial_tcp() -> Dial {
     Rc::new(|address| {
-        Box::pin(async move { Ok(Box::new(TcpStream::connect(address).await?) as Box<dyn Stream>) })
+        Box::pin(async move {
+            let stream = connect(address, Instant::now() + ANSWER).await?;
+            Ok(Box::new(Socket::new(Rc::new(stream))) as Box<dyn Stream>)
+        })
     })
 }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -8,6 +8,7 @@
 pub mod connections;
 pub mod discovery;
 pub mod events;
+pub mod failure;
 pub mod framing;
 pub mod pool;
 pub mod server;
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -4,7 +4,8 @@
 //! written: whether an attempt may have run hangs on that, and hyper doesn't tell.
 
 use super::Local;
-use super::socket::Socket;
+use super::failure::{ConnectFailure, connect_failure};
+use super::socket::{Socket, connect, uninterrupted};
 use crate::counters::Counters;
 use crate::interface::{Outcome, WorkerId};
 use bytes::Bytes;
@@ -107,7 +108,7 @@
 
 /// Whether nothing waits on a connection, neither bytes nor its end, as the system knows it at this moment.
 fn is_quiet(stream: &TcpStream) -> bool {
-    let waiting = SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]);
+    let waiting = uninterrupted(|| SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]));
     waiting.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
 }
 
@@ -137,7 +138,7 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.meter.check(&self.socket.0)?;
+        self.meter.check(self.socket.stream())?;
         let written = ready!(Pin::new(&mut self.socket).poll_write_vectored(cx, bufs))?;
         let mut left = written;
         for buf in bufs {
@@ -232,14 +233,26 @@
     /// The model host took too long.
     #[error("not connected in time")]
     TimedOut,
+    /// This machine could not, for as long as there was time: it says nothing of the model host.
+    #[error("this machine can't connect: {0}")]
+    Machine(io::Error),
     /// The system said no.
     #[error("{0}")]
-    Io(#[from] io::Error),
+    Io(io::Error),
     /// The connection broke as it was set up.
     #[error("{0}")]
     Http(#[from] hyper::Error),
 }
 
+impl From<io::Error> for ConnectError {
+    fn from(error: io::Error) -> Self {
+        match connect_failure(&error) {
+            ConnectFailure::Machine => ConnectError::Machine(error),
+            ConnectFailure::Interrupted | ConnectFailure::OtherSide => ConnectError::Io(error),
+        }
+    }
+}
+
 /// Where to connect.
 #[derive(Clone, Debug)]
 pub struct Target {
@@ -378,12 +391,12 @@
             }
         };
         self.counters.connections_out.up();
-        let connecting =
-            tokio::time::timeout(self.limits.connect_timeout, TcpStream::connect(target.address));
+        let give_up = Instant::now() + self.limits.connect_timeout;
+        let connecting = tokio::time::timeout_at(give_up, connect(target.address, give_up));
         let stream = connecting.await.map_err(|_| ConnectError::TimedOut)??;
         stream.set_nodelay(true)?;
         let (stream, meter) = (Rc::new(stream), Rc::new(Meter::default()));
-        let io = TokioIo::new(Metered { socket: Socket(stream.clone()), meter: meter.clone() });
+        let io = TokioIo::new(Metered { socket: Socket::new(stream.clone()), meter: meter.clone() });
         // A header that can't be read (a load report, say) is no reason to lose a good answer.
         let mut builder = http1::Builder::new();
         builder.max_buf_size(64 * 1024).ignore_invalid_headers_in_responses(true);
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -4,6 +4,7 @@
 use super::client_socket::ClientSocket;
 use super::connection::serve;
 use super::connections::Connections;
+use super::failure::{AcceptFailure, accept_failure};
 use super::service::{Arrival, RETRY_AFTER, RequestService};
 use crate::counters::Counters;
 use crate::front::platform::{self, AnswerBody};
@@ -31,6 +32,35 @@
 const EVICTION_TIME: Duration = Duration::from_millis(5);
 /// After an accept that failed for want of a descriptor: by then the connection that had to go for it is closed.
 const ACCEPT_FAILED_PAUSE: Duration = Duration::from_millis(5);
+/// Connections in a row that may be gone before their accept without a pause.
+const MAX_FAILURES_AT_ONCE: u32 = 16;
+/// Accepts that fail in a row before the rest of the system's queue is given up.
+const MAX_ACCEPT_FAILURES: u32 = 100;
+
+/// Accepts that have failed in a row.
+#[derive(Default)]
+struct AcceptFailures(u32);
+
+impl AcceptFailures {
+    fn is_first(&self) -> bool {
+        self.0 == 0
+    }
+
+    fn are_too_many(&self) -> bool {
+        self.0 >= MAX_ACCEPT_FAILURES
+    }
+
+    /// A failure of one connection takes no time: the next one may be there already. One that lasts must not keep the
+    /// others from their turn.
+    async fn pause(&mut self, failure: AcceptFailure) {
+        self.0 += 1;
+        if failure == AcceptFailure::Connection && !self.0.is_multiple_of(MAX_FAILURES_AT_ONCE) {
+            tokio::task::yield_now().await;
+        } else {
+            tokio::time::sleep(ACCEPT_FAILED_PAUSE).await;
+        }
+    }
+}
 
 /// How far an orderly end has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -100,26 +130,37 @@
             _ = stage.wait_for(|s| *s == Stage::Closing) => {}
             () = self.accept_next(&listener, &service) => {}
         }
-        self.drain_backlog(listener, &service);
+        self.drain_backlog(listener, &service).await;
     }
 
     /// Accepts one after another, also in a full house: none is left to wait in the system's queue.
     async fn accept_next(&self, listener: &TcpListener, service: &BoundedService) {
+        let mut failures = AcceptFailures::default();
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
+                    failures = AcceptFailures::default();
                     self.admit(stream, service);
                     self.keep_reserve().await;
                 }
-                Err(error) => {
-                    log::warn!("accept: {error}");
-                    self.open.make_room_at_once(self.counters());
-                    tokio::time::sleep(ACCEPT_FAILED_PAUSE).await;
-                }
+                Err(error) => self.accept_failed(&error, &mut failures).await,
             }
         }
     }
 
+    /// Makes the next accept possible, as far as anything can be done about it here.
+    async fn accept_failed(&self, error: &io::Error, failures: &mut AcceptFailures) {
+        self.counters().accepts_failed.up();
+        let failure = accept_failure(error);
+        if failures.is_first() {
+            log::warn!("accept: {error} ({failure:?})");
+        }
+        if failure == AcceptFailure::OwnDescriptors {
+            self.open.make_room_at_once(self.counters());
+        }
+        failures.pause(failure).await;
+    }
+
     /// Waits until there are no more connections than there may be. Those over the bound are refused as soon as they
     /// ask, so among them there is always one that can go.
     async fn keep_reserve(&self) {
@@ -131,21 +172,29 @@
     }
 
     /// Takes in what waits in the system's queue, and no more.
-    fn drain_backlog(&self, listener: TcpListener, service: &BoundedService) {
+    async fn drain_backlog(&self, listener: TcpListener, service: &BoundedService) {
         // Asked directly: the runtime may not have looked at the listener since the last connection came.
         let Ok(listener) = listener.into_std() else { return };
+        let accept = || {
+            let (stream, _) = listener.accept()?;
+            stream.set_nonblocking(true)?;
+            TcpStream::from_std(stream)
+        };
+        self.drain(accept, service).await;
+    }
+
+    /// Takes in what `accept` gives until nothing waits any more. A failure ends it only when it lasts.
+    async fn drain(&self, mut accept: impl FnMut() -> io::Result<TcpStream>, service: &BoundedService) {
+        let mut failures = AcceptFailures::default();
         loop {
-            let accepted = listener.accept().and_then(|(stream, _)| {
-                stream.set_nonblocking(true)?;
-                TcpStream::from_std(stream)
-            });
-            match accepted {
-                Ok(stream) => self.admit(stream, service),
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
-                Err(error) => {
-                    log::warn!("accept: {error}");
-                    return;
+            match accept() {
+                Ok(stream) => {
+                    failures = AcceptFailures::default();
+                    self.admit(stream, service);
                 }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+                Err(_) if failures.are_too_many() => return,
+                Err(error) => self.accept_failed(&error, &mut failures).await,
             }
         }
     }
@@ -230,3 +279,6 @@
         self.over || self.client.is_spent() || self.client.has_left() || closing && !self.client.has_unread()
     }
 }
+
+#[cfg(test)]
+mod tests;
