--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -214,6 +214,8 @@
     child: Child,
     pub address: SocketAddr,
     log: mpsc::Receiver<String>,
+    /// While it is locked nobody reads the log.
+    pub log_reading: Arc<Mutex<()>>,
     file: std::path::PathBuf,
 }
 
@@ -242,8 +244,18 @@
             .unwrap();
         let stderr = BufReader::new(child.stderr.take().unwrap());
         let (lines, log) = mpsc::channel();
-        thread::spawn(move || stderr.lines().map_while(Result::ok).all(|line| lines.send(line).is_ok()));
-        let mut conductor = Conductor { child, address: "127.0.0.1:1".parse().unwrap(), log, file };
+        let log_reading = Arc::new(Mutex::new(()));
+        let reading = log_reading.clone();
+        thread::spawn(move || {
+            for line in stderr.lines().map_while(Result::ok) {
+                let _reading = reading.lock();
+                if lines.send(line).is_err() {
+                    return;
+                }
+            }
+        });
+        let address = "127.0.0.1:1".parse().unwrap();
+        let mut conductor = Conductor { child, address, log, log_reading, file };
         let line = conductor.wait_for("serves on ");
         let address = line.split("serves on ").nth(1).unwrap().split(',').next().unwrap();
         conductor.address = address.parse().unwrap();
