Write the log beside the service, and drop lines that nobody reads

Cause: the one thread that serves wrote each line of the log to standard error itself. A pipe that is full, because whoever collects the log has stalled, held up everything with it: accepts, deadlines, releases.

Change: lines go to a bounded queue (tracing-appender, 4,096 lines) that a thread of its own writes; what does not fit is dropped, counted and told later. Test: 300 requests with debug lines while the pipe is not read.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -60,6 +60,7 @@
 pub mod front;
 pub mod haproxy;
 pub mod interface;
+pub mod logging;
 pub mod net;
 pub mod policy;
 mod state;
--- a/src/main.rs
+++ b/src/main.rs
@@ -13,6 +13,7 @@
 use whinhaven::counters::Counters;
 use whinhaven::front::jsonrpc::Front;
 use whinhaven::interface::ListKind;
+use whinhaven::logging::Log;
 use whinhaven::net::budget::Budget;
 use whinhaven::net::client::Hosts;
 use whinhaven::net::connections::Connections;
@@ -36,12 +37,12 @@
        whinhaven import haproxy FILE  write an operator's file from HAProxy's configuration";
 
 fn main() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    let log = Log::start();
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     let words: Vec<&str> = arguments.iter().map(String::as_str).collect();
     let done = match words.as_slice() {
-        [] => platform_source().and_then(serve),
-        ["serve", file] => serve(Source { file: (*file).to_owned(), platform: false }),
+        [] => platform_source().and_then(|source| serve(source, &log)),
+        ["serve", file] => serve(Source { file: (*file).to_owned(), platform: false }, &log),
         ["import", "haproxy", file] => read(file).and_then(|text| import(&text)),
         ["-h" | "--help" | "help"] => {
             println!("{USAGE}");
@@ -94,12 +95,12 @@
     Ok(Source { file, platform: true })
 }
 
-fn serve(source: Source) -> Result<(), ConfigError> {
+fn serve(source: Source, log: &Log) -> Result<(), ConfigError> {
     let config = source.load()?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| ConfigError(format!("runtime: {e}")))?;
     let local = tokio::task::LocalSet::new();
-    runtime.block_on(local.run_until(run(config, source)))
+    runtime.block_on(local.run_until(run(config, source, log)))
 }
 
 /// Takes a new configuration in: discovery moves, all else stays as it was at the start. A file that can't be used
@@ -136,7 +137,7 @@
     }
 }
 
-async fn run(mut config: Config, source: Source) -> Result<(), ConfigError> {
+async fn run(mut config: Config, source: Source, log: &Log) -> Result<(), ConfigError> {
     // Before anything can be reached: until it is caught, SIGHUP ends the process.
     let failed = |e: std::io::Error| ConfigError(format!("signals: {e}"));
     let mut hangup = signal(SignalKind::hangup()).map_err(failed)?;
@@ -232,6 +233,7 @@
             _ = hangup.recv() => reload(&source, &mut config, &discovery, &counters),
             _ = retire.tick() => {
                 pool.retire();
+                log.report_dropped_lines();
                 if let Some(front) = &front {
                     front.tidy();
                 }
