Decide on sends, repeats, refusals and closes in one module, and count what breaks

The driver asks again behind the policy and counts what it finds broken (violations= in the counters, 'violation:' in the log).

The refusal's promise was decided on twice, and not alike: the driver took a prefill that had failed for an effect, and answered 502 where 503 was due; now one function decides. A request ended by the driver's guard gets its advice too.

Logged at debug level now: each connection's accept, the request taken on it and the reason of its end; each attempt's predecessor and why it was withheld; the reason of each refusal and failure.

--- a/src/core/held.rs
+++ b/src/core/held.rs
@@ -59,6 +59,11 @@
         self.is_released = true;
     }
 
+    /// Whether something is held that nobody has released.
+    pub fn is_held(&self) -> bool {
+        self.unattended_since.is_some() && !self.is_released
+    }
+
     /// When it has to be released, if nothing changes.
     pub fn release_due(&self, limit: Micros) -> Option<Micros> {
         let since = self.unattended_since.filter(|_| !self.is_released)?;
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -9,6 +9,9 @@
 use crate::exchange::{AnswerHandle, Call, Feed, RequestState, ServerSide, open};
 use crate::interface::*;
 use crate::policy::Policy;
+use crate::rules::Rule;
+use crate::rules::effect::is_refusal_harmless;
+use crate::rules::send::{RequestFacts, may_attempt};
 use held::HeldState;
 use std::cell::Cell;
 use std::cmp::Reverse;
@@ -236,7 +239,7 @@
     /// Gone once the final answer is given.
     answer: Option<AnswerHandle>,
     state: RequestState,
-    class_safe: bool,
+    effect: Effect,
     attempts: Vec<Slot>,
     held: HeldState,
     releasing: Option<Rc<Releasing>>,
@@ -244,6 +247,8 @@
 
 struct Slot {
     sent: Micros,
+    /// Whether it is to read the prompt only, which is no effect.
+    reads: bool,
     cancel: Option<oneshot::Sender<()>>,
     outcome: Option<Outcome>,
     begun: Rc<Cell<bool>>,
@@ -255,6 +260,26 @@
         self.attempts.iter().any(|s| s.outcome.is_none())
     }
 
+    /// Whether an attempt that is over, or one that is out at a decode worker, may have had an effect.
+    fn may_have_run(&self) -> bool {
+        self.attempts.iter().any(|slot| match slot.outcome {
+            None => true,
+            Some(outcome) => !slot.reads && !outcome.never_ran(),
+        })
+    }
+
+    fn facts(&self, settings: &Settings) -> RequestFacts {
+        RequestFacts {
+            is_answered: self.answer.is_none(),
+            attempts: self.attempts.len(),
+            max_attempts: settings.max_attempts as usize,
+            attempts_out: self.attempts.iter().filter(|slot| slot.outcome.is_none()).count(),
+            second_copies: settings.second_copies,
+            effect: self.effect,
+            may_have_run: self.may_have_run(),
+        }
+    }
+
     /// Takes the final answer, once. Whoever gives it, what has not begun does not begin any more, also where attempts
     /// may not be dropped.
     fn take_answer(&mut self) -> Option<AnswerHandle> {
@@ -371,7 +396,8 @@
     fn ask(&mut self, ask: Ask, call: Rc<Call>, answer: AnswerHandle) {
         self.counters.taken.up();
         let class = self.settings.classes.iter().find(|c| c.name == ask.class);
-        let class_safe = class.is_some_and(|c| matches!(c.effect, Effect::Safe | Effect::Keyed(Group::All)));
+        // What the settings don't name is never repeated.
+        let effect = class.map_or(Effect::Unsafe, |class| class.effect);
         let (request, deadline) = (ask.request, ask.deadline);
         log::debug!("request {}: {ask:?}", call.id);
         let open = Open {
@@ -379,7 +405,7 @@
             deadline,
             state: answer.request(),
             answer: Some(answer),
-            class_safe,
+            effect,
             attempts: Vec::new(),
             held: HeldState::default(),
             releasing: None,
@@ -474,9 +500,10 @@
     /// Guards against a module that has lost a request (after a panic, say): the client gets an answer all the same.
     fn guard(&mut self, request: RequestId) {
         let Some(open) = self.open.get_mut(&request).filter(|open| open.answer.is_some()) else { return };
-        log::warn!("request {}: no decision by its deadline, ended by the driver", open.call.id);
+        let detail = "no decision by its deadline, ended by the driver";
+        self.counters.violations.note(Rule::AnswerInTime, &open.call.id, detail);
         open.attempts.iter_mut().for_each(|slot| slot.cancel = None);
-        self.outbound.release(open.call.clone(), Rc::default());
+        self.release(request);
         self.answer_itself(request);
         self.handle(Event::Left { request });
         self.forget(request);
@@ -486,11 +513,11 @@
     fn answer_itself(&mut self, request: RequestId) {
         let Some(open) = self.open.get_mut(&request) else { return };
         let Some(answer) = open.take_answer() else { return };
-        let harmless =
-            open.class_safe || open.attempts.iter().all(|slot| slot.outcome.is_some_and(Outcome::never_ran));
-        if harmless {
+        let is_refusal = is_refusal_harmless(open.effect, open.may_have_run());
+        log::debug!("request {}: ended by the driver, refused {is_refusal}", open.call.id);
+        if is_refusal {
             self.counters.answered_refused.up();
-            answer.refuse(None);
+            answer.refuse(self.settings.retry_advice.then_some(self.settings.max_retry_after));
         } else {
             self.counters.answered_failed.up();
             answer.fail();
@@ -498,8 +525,14 @@
     }
 
     fn forget(&mut self, request: RequestId) {
-        if self.open.get(&request).is_some_and(|o| o.answer.is_none() && !o.out()) {
-            self.open.remove(&request);
+        if !self.open.get(&request).is_some_and(|o| o.answer.is_none() && !o.out()) {
+            return;
+        }
+        let Some(over) = self.open.remove(&request) else { return };
+        if over.held.is_held() {
+            let detail = "something is held for a request that is over";
+            self.counters.violations.note(Rule::NothingLeftBehind, &over.call.id, detail);
+            self.outbound.release(over.call, Rc::default());
         }
     }
 
@@ -528,20 +561,8 @@
             Action::Send { request, worker, reads, timeout, begin_before } => {
                 self.send(request, worker, reads, timeout, begin_before);
             }
-            Action::Refuse { request, retry_after } => {
-                if let Some(answer) = self.open.get_mut(&request).and_then(Open::take_answer) {
-                    self.counters.answered_refused.up();
-                    answer.refuse(retry_after);
-                    self.ended.push(request);
-                }
-            }
-            Action::Fail { request } => {
-                if let Some(answer) = self.open.get_mut(&request).and_then(Open::take_answer) {
-                    self.counters.answered_failed.up();
-                    answer.fail();
-                    self.ended.push(request);
-                }
-            }
+            Action::Refuse { request, retry_after, reason } => self.refuse(request, retry_after, reason),
+            Action::Fail { request, reason } => self.fail(request, reason),
             Action::Drop { request, attempt } => {
                 let slot = self.open.get_mut(&request).and_then(|o| o.attempts.get_mut(attempt.0 as usize));
                 if let Some(slot) = slot.filter(|s| !s.streaming) {
@@ -574,6 +595,29 @@
         }
     }
 
+    fn refuse(&mut self, request: RequestId, retry_after: Option<Micros>, reason: EndReason) {
+        let Some(open) = self.open.get_mut(&request) else { return };
+        if open.answer.is_some() && !is_refusal_harmless(open.effect, open.may_have_run()) {
+            let detail = format!("a refusal ({reason:?}) is a failure");
+            self.counters.violations.note(Rule::HonestRefusal, &open.call.id, detail);
+            return self.fail(request, reason);
+        }
+        let Some(answer) = open.take_answer() else { return };
+        log::debug!("request {}: refused: {reason:?}, retry after {retry_after:?} us", open.call.id);
+        self.counters.answered_refused.up();
+        answer.refuse(retry_after);
+        self.ended.push(request);
+    }
+
+    fn fail(&mut self, request: RequestId, reason: EndReason) {
+        let Some(open) = self.open.get_mut(&request) else { return };
+        let Some(answer) = open.take_answer() else { return };
+        log::debug!("request {}: failed: {reason:?}", open.call.id);
+        self.counters.answered_failed.up();
+        answer.fail();
+        self.ended.push(request);
+    }
+
     fn send(
         &mut self,
         request: RequestId,
@@ -583,16 +627,28 @@
         begin_before: Option<Micros>,
     ) {
         let now = self.clock.now();
-        let Some(open) = self.open.get_mut(&request).filter(|o| o.answer.is_some()) else { return };
+        let Some(open) = self.open.get_mut(&request) else { return };
+        if let Err(rule) = may_attempt(&open.facts(&self.settings)) {
+            self.counters.violations.note(rule, &open.call.id, format!("not sent to {}", worker.0));
+            return;
+        }
         let until = timeout.map_or(open.deadline, |t| open.deadline.min(now.saturating_add(t)));
         let attempt = AttemptIndex(open.attempts.len() as u32);
         let (cancel, cancelled) = oneshot::channel();
         let begun = Rc::<Cell<bool>>::default();
         let (cancel, slot_begun) = (Some(cancel), begun.clone());
-        open.attempts.push(Slot { sent: now, cancel, outcome: None, begun: slot_begun, streaming: false });
+        open.attempts.push(Slot {
+            sent: now,
+            reads,
+            cancel,
+            outcome: None,
+            begun: slot_begun,
+            streaming: false,
+        });
         let call = open.call.clone();
+        let before = open.attempts.iter().rev().nth(1).and_then(|slot| slot.outcome);
         log::debug!(
-            "request {}: attempt {} to {}, {} us",
+            "request {}: attempt {} to {}, {} us, after {before:?}",
             call.id,
             attempt.0,
             worker.0,
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -1,5 +1,6 @@
 //! Counts of what a conductor takes in, sends and answers; printed on SIGUSR1 and at exit.
 
+use crate::rules::Violations;
 use std::cell::Cell;
 use std::fmt;
 
@@ -7,14 +8,17 @@
     ($($(#[$doc:meta])* $name:ident),* $(,)?) => {
         /// The counters of one conductor.
         #[derive(Debug, Default)]
-        pub struct Counters { $($(#[$doc])* pub $name: Count),* }
+        pub struct Counters {
+            /// Promises that were found broken, or would have been.
+            pub violations: Violations,
+            $($(#[$doc])* pub $name: Count),*
+        }
 
         impl fmt::Display for Counters {
             fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-                let mut gap = "";
+                write!(f, "violations={}", self.violations.total())?;
                 $(
-                    write!(f, "{gap}{}={}", stringify!($name), self.$name.get())?;
-                    gap = " ";
+                    write!(f, " {}={}", stringify!($name), self.$name.get())?;
                 )*
                 Ok(())
             }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -370,6 +370,27 @@
     },
 }
 
+/// Why a request ends without an answer of a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndReason {
+    /// Its deadline is too close for anything to begin.
+    NoTimeLeft,
+    /// Its deadline has passed with an attempt out.
+    DeadlinePassed,
+    /// It has had all attempts that it may have.
+    AttemptsSpent,
+    /// It may have run, and no worker may be sent it again.
+    MayNotRepeat,
+    /// Decode workers hung under it, and it is late by now.
+    LateInAJam,
+    /// By what its stages take, it can't begin before its client leaves.
+    CannotBeginInTime,
+    /// By what its stages take, it can't be of use any more.
+    CannotBeUseful,
+    /// Its tenant has used up its share, and there is no room.
+    OverShare,
+}
+
 /// Something to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -392,11 +413,15 @@
         request: RequestId,
         /// When the client should come back.
         retry_after: Option<Micros>,
+        /// Why.
+        reason: EndReason,
     },
     /// Fail: no promise about the effect.
     Fail {
         /// The request.
         request: RequestId,
+        /// Why.
+        reason: EndReason,
     },
     /// Stop waiting for an attempt.
     Drop {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -63,6 +63,7 @@
 pub mod logging;
 pub mod net;
 pub mod policy;
+pub mod rules;
 mod state;
 pub mod wire;
 
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -8,6 +8,7 @@
 use crate::counters::Counters;
 use crate::exchange::{Call, ClientConnection, FeedSource, Frame, Reply, RequestState, feed};
 use crate::interface::{AttemptIndex, Micros, Outcome, Report, Reports, RequestId, WorkerId};
+use crate::rules::send::{AttemptFacts, Withheld, may_write};
 use crate::wire::read_report;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -214,7 +215,7 @@
     /// # Errors
     /// The outcome of an attempt that may not.
     pub fn may_begin(&self, attempt: &Attempt, now: Micros) -> Result<(), Outcome> {
-        SendConditions::of(attempt, &self.directory).check(now)
+        SendConditions::of(attempt, &self.directory).check(now).map_err(Withheld::outcome)
     }
 
     /// The look at an attempt before its first byte and before each further part, should the host take them one by one.
@@ -222,10 +223,12 @@
     fn write_guard(&self, attempt: &Attempt) -> WriteGuard {
         let conditions = SendConditions::of(attempt, &self.directory);
         let (clock, counters, begun) = (self.core.clock, self.counters.clone(), attempt.begun.clone());
+        let (request, index) = (attempt.call.id.clone(), attempt.attempt);
         Box::new(move || {
-            conditions.check(clock.now()).map_err(|outcome| {
+            conditions.check(clock.now()).map_err(|withheld| {
+                log::debug!("request {request}: attempt {} is withheld: {withheld}", index.0);
                 // What has begun and never came whole has never run.
-                if begun.get() { Outcome::NoConnection } else { outcome }
+                if begun.get() { Outcome::NoConnection } else { withheld.outcome() }
             })?;
             if !begun.replace(true) {
                 counters.sent.up();
@@ -386,18 +389,15 @@
         }
     }
 
-    fn check(&self, now: Micros) -> Result<(), Outcome> {
-        if !self.state.is_open() || self.client.has_left() {
-            return Err(Outcome::Dropped);
-        }
-        if now >= self.until {
-            return Err(Outcome::NoConnection);
-        }
-        let too_late = self.begin_before.is_some_and(|end| now >= end);
-        if too_late || !self.directory.is_ready(&self.worker) {
-            return Err(Outcome::NotSent);
-        }
-        Ok(())
+    fn check(&self, now: Micros) -> Result<(), Withheld> {
+        may_write(&AttemptFacts {
+            is_open: self.state.is_open(),
+            client_left: self.client.has_left(),
+            now,
+            until: self.until,
+            begin_before: self.begin_before,
+            worker_is_ready: self.directory.is_ready(&self.worker),
+        })
     }
 }
 
--- a/src/net/client_socket.rs
+++ b/src/net/client_socket.rs
@@ -8,6 +8,7 @@
 use super::framing::Framing;
 use super::socket::{Socket, uninterrupted};
 use crate::exchange::ClientConnection;
+use crate::rules::close::{ConnectionFacts, Eviction, Phase};
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use rustix::net::{RecvFlags, recv};
 use std::cell::{Cell, RefCell};
@@ -30,34 +31,11 @@
 /// Bytes that tell whether what stands behind a request may be the beginning of another: more than any method has.
 const METHOD_BYTES: usize = 32;
 
-/// What a client connection is doing.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Phase {
-    /// Nothing of a next request has come since.
-    Idle(Instant),
-    /// A request began to arrive then, and has not come whole.
-    Arriving(Instant),
-    /// A request has come whole and waits for its answer.
-    InHand,
-    /// A stream is passed on.
-    Streaming,
-    /// Its sending side was shut down then, and the client has not closed yet.
-    Closing(Instant),
-}
-
-/// Whether a connection's place is wanted for others.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Eviction {
-    /// It may stay.
-    None,
-    /// It ends in order.
-    Soon,
-    /// There is no time for its client to close first.
-    AtOnce,
-}
-
 /// A client's socket and what is known of it, shared between hyper's input, the supervisor and the service.
 pub struct ClientSocket {
+    /// Its number in the log.
+    number: u64,
+    accepted: Instant,
     stream: Rc<TcpStream>,
     phase: Cell<Phase>,
     /// Whether hyper may read.
@@ -79,8 +57,10 @@
 
 impl ClientSocket {
     /// A connection accepted now.
-    pub fn new(stream: Rc<TcpStream>) -> Rc<Self> {
+    pub fn new(number: u64, stream: Rc<TcpStream>) -> Rc<Self> {
         Rc::new(ClientSocket {
+            number,
+            accepted: Instant::now(),
             stream,
             phase: Cell::new(Phase::Idle(Instant::now())),
             gate_open: Cell::new(true),
@@ -101,6 +81,23 @@
         &self.stream
     }
 
+    /// Its number in the log.
+    pub fn number(&self) -> u64 {
+        self.number
+    }
+
+    /// What is known of the connection now, for whoever decides on its end.
+    pub fn facts(&self, is_closing_stage: bool) -> ConnectionFacts {
+        ConnectionFacts {
+            phase: self.phase.get(),
+            accepted: self.accepted,
+            has_answered: self.has_answered.get(),
+            is_write_blocked: self.is_write_blocked.get(),
+            eviction: self.eviction.get(),
+            is_closing_stage,
+        }
+    }
+
     /// What the connection is doing.
     pub fn phase(&self) -> Phase {
         self.phase.get()
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -6,11 +6,12 @@
 //! the client has some time to close first.
 
 use super::Local;
-use super::client_socket::{ClientSocket, Eviction, GatedSocket, Phase};
+use super::client_socket::{ClientSocket, GatedSocket};
 use super::server::{Answering, Stage};
 use super::service::MAX_BODY_BYTES;
 use super::socket::Socket;
 use crate::counters::Counters;
+use crate::rules::close::{CloseReason, Eviction, Phase, close_due, is_at_rest, may_close};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::{Request, Response};
@@ -23,18 +24,6 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-/// A request has this long to come whole, from its first byte and, the first on a connection, from the accept on.
-/// Progress doesn't renew it: half a head, half a body and a drip without end all hold a place.
-const ARRIVE: Duration = Duration::from_millis(2_400);
-/// A client that has said nothing since it connected is let go after this.
-const SILENT_CLIENT: Duration = Duration::from_millis(2_200);
-/// The same during a graceful shutdown: time for the request of a client that has just connected.
-const SILENT_CLIENT_AT_SHUTDOWN: Duration = Duration::from_millis(500);
-/// One that was answered before may come again: a session's next turn, and this conductor knows where its text is
-/// kept. It is let go after this, or as soon as its place is wanted.
-const IDLE_CLIENT: Duration = Duration::from_secs(30);
-/// A client that takes nothing of its answer for this long is gone.
-const CLIENT_STALLED: Duration = Duration::from_secs(30);
 /// After the sending side is shut down, the client has this long to close.
 const LINGER: Duration = Duration::from_secs(1);
 /// The same where the place is wanted for others: a round trip on any ordinary way.
@@ -46,47 +35,12 @@
 /// For a request that did not come in time.
 const TOO_SLOW: &[u8] = b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 
-/// Why hyper's part in a connection is over.
-enum Ended {
-    /// hyper has closed: an answer that ends the connection, an error, or a client that closed first.
-    ByHttp(hyper::Result<()>),
-    /// It was idle for too long, or must be by now.
-    Idle,
-    /// A request did not come whole in time.
-    RequestOverdue,
-    /// The client takes nothing of its answer.
-    Stalled,
-    /// The client has closed in the middle of its stream.
-    ClientLeft,
-}
-
-/// When a connection is to be ended as it stands.
-fn due(client: &ClientSocket, accepted: Instant, stage: Stage) -> Option<Instant> {
-    match client.phase() {
-        Phase::InHand | Phase::Streaming | Phase::Closing(_) => None,
-        Phase::Idle(since) if client.is_write_blocked() => Some(since + CLIENT_STALLED),
-        _ if client.eviction() > Eviction::None => Some(accepted),
-        Phase::Idle(since) if stage == Stage::Closing && client.has_answered() => Some(since),
-        Phase::Idle(since) if client.has_answered() => Some(since + IDLE_CLIENT),
-        Phase::Idle(_) if stage == Stage::Closing => Some(accepted + SILENT_CLIENT_AT_SHUTDOWN),
-        Phase::Idle(since) => Some(since + SILENT_CLIENT),
-        Phase::Arriving(_) if !client.has_answered() => Some(accepted + ARRIVE),
-        Phase::Arriving(since) => Some(since + ARRIVE),
-    }
-}
-
-/// Whether a connection is between two requests, with its last answer written out.
-fn is_at_rest(client: &ClientSocket) -> bool {
-    matches!(client.phase(), Phase::Idle(_)) && client.has_answered() && !client.is_write_blocked()
-}
-
 /// Serves a connection until it has ended.
 pub async fn serve<S>(
     service: S,
     stage: watch::Receiver<Stage>,
     client: &Rc<ClientSocket>,
     counters: &Counters,
-    accepted: Instant,
 ) where
     S: hyper::service::Service<
             Request<Incoming>,
@@ -96,21 +50,17 @@
         > + Unpin,
 {
     let _ = client.stream().set_nodelay(true);
-    let ended = run(service, stage, client, accepted).await;
-    match &ended {
-        Ended::ByHttp(Err(error)) => {
-            log::debug!("client connection: {error}");
-            // hyper has answered what was no HTTP with a 4xx of its own.
-            if error.is_parse() || error.is_parse_too_large() {
-                counters.bad_requests.up();
-            }
-        }
-        Ended::RequestOverdue => {
+    let reason = run(service, stage, client).await;
+    log::debug!("connection {}: ends: {reason}", client.number());
+    match reason {
+        // hyper has answered what was no HTTP with a 4xx of its own.
+        CloseReason::Unreadable => counters.bad_requests.up(),
+        CloseReason::RequestOverdue => {
             counters.slow_clients.up();
             let _ = client.stream().try_write(TOO_SLOW);
         }
-        Ended::ByHttp(Ok(())) | Ended::Idle => {}
-        Ended::Stalled | Ended::ClientLeft => return,
+        CloseReason::WriteBlocked | CloseReason::ClientLeft => return,
+        CloseReason::ByHttp | CloseReason::Idle | CloseReason::Evicted | CloseReason::Shutdown => {}
     }
     client.closes();
     tokio::select! {
@@ -121,12 +71,7 @@
 }
 
 /// Lets hyper read requests and answer them until the connection has to end.
-async fn run<S>(
-    service: S,
-    mut stage: watch::Receiver<Stage>,
-    client: &Rc<ClientSocket>,
-    accepted: Instant,
-) -> Ended
+async fn run<S>(service: S, mut stage: watch::Receiver<Stage>, client: &Rc<ClientSocket>) -> CloseReason
 where
     S: hyper::service::Service<
             Request<Incoming>,
@@ -142,35 +87,48 @@
         .serve_connection(TokioIo::new(GatedSocket::new(client.clone())), service);
     let mut recheck: Option<Instant> = None;
     loop {
-        let now_stage = *stage.borrow_and_update();
-        let due = recheck.take().or_else(|| due(client, accepted, now_stage));
-        // At once: a request that comes while a timer runs out would have to be taken.
-        if now_stage == Stage::Closing && is_at_rest(client) && !client.has_unread() {
-            return Ended::Idle;
+        let is_closing_stage = *stage.borrow_and_update() == Stage::Closing;
+        let facts = client.facts(is_closing_stage);
+        if is_closing_stage && is_at_rest(&facts) && !client.has_unread() {
+            return CloseReason::Shutdown;
         }
+        let due = close_due(&facts);
+        let look_at = recheck.take().or_else(|| due.map(|(at, _)| at));
         tokio::select! {
             biased;
             // First: what has come by now is looked at before any deadline is.
-            ended = poll_fn(|cx| connection.poll_without_shutdown(cx)) => return Ended::ByHttp(ended),
+            ended = poll_fn(|cx| connection.poll_without_shutdown(cx)) => return ended_by_http(client, ended),
             Ok(()) = stage.changed() => {}
             () = client.changed() => {}
             // One that leaves before is answered all the same: it may only have ended its sending.
-            () = client.left(), if client.phase() == Phase::Streaming => return Ended::ClientLeft,
-            () = async { tokio::time::sleep_until(due.unwrap_or(accepted)).await }, if due.is_some() => {
-                match client.phase() {
-                    Phase::InHand | Phase::Streaming | Phase::Closing(_) => {}
-                    Phase::Idle(_) if client.is_write_blocked() => return Ended::Stalled,
-                    // A request has come that hyper has not been told of: it is no longer idle.
-                    Phase::Idle(_) if client.has_unread() => recheck = Some(Instant::now() + UNREAD_RECHECK),
-                    Phase::Idle(_) => return Ended::Idle,
-                    Phase::Arriving(_) if client.is_write_blocked() => return Ended::Stalled,
-                    Phase::Arriving(_) => return Ended::RequestOverdue,
+            () = client.left(), if client.phase() == Phase::Streaming => return CloseReason::ClientLeft,
+            () = until(look_at) => {
+                // What hyper has done meanwhile may have changed it.
+                let due = close_due(&client.facts(is_closing_stage));
+                let Some((_, reason)) = due.filter(|(at, _)| *at <= Instant::now()) else { continue };
+                if reason == CloseReason::WriteBlocked || may_close(client.phase(), client.has_unread()) {
+                    return reason;
                 }
+                // A request has come that hyper has not been told of: the connection is no longer idle.
+                recheck = Some(Instant::now() + UNREAD_RECHECK);
             }
         }
     }
 }
 
+async fn until(moment: Option<Instant>) {
+    match moment {
+        Some(moment) => tokio::time::sleep_until(moment).await,
+        None => std::future::pending().await,
+    }
+}
+
+fn ended_by_http(client: &ClientSocket, ended: hyper::Result<()>) -> CloseReason {
+    let Err(error) = ended else { return CloseReason::ByHttp };
+    log::debug!("connection {}: {error}", client.number());
+    if error.is_parse() || error.is_parse_too_large() { CloseReason::Unreadable } else { CloseReason::ByHttp }
+}
+
 /// Resolves when the connection's place is wanted for others, and the client has had a moment to close if there is one.
 async fn evicted(client: &ClientSocket) {
     while client.eviction() == Eviction::None {
--- a/src/net/connections.rs
+++ b/src/net/connections.rs
@@ -1,7 +1,8 @@
 //! The client connections that are open, and which of them go when places are short.
 
-use super::client_socket::{ClientSocket, Eviction, Phase};
+use super::client_socket::ClientSocket;
 use crate::counters::Counters;
+use crate::rules::close::{Eviction, Phase};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -34,10 +35,16 @@
         self.freed.notified().await;
     }
 
-    /// Enters a connection, for as long as its slot is kept.
-    pub fn enter(self: &Rc<Self>, client: Rc<ClientSocket>) -> ConnectionSlot {
+    /// The number of the next connection.
+    pub fn next_number(&self) -> u64 {
         let number = self.next.get();
         self.next.set(number + 1);
+        number
+    }
+
+    /// Enters a connection, for as long as its slot is kept.
+    pub fn enter(self: &Rc<Self>, client: Rc<ClientSocket>) -> ConnectionSlot {
+        let number = client.number();
         self.all.borrow_mut().insert(number, client);
         ConnectionSlot(self.clone(), number)
     }
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -20,7 +20,6 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::time::Instant;
 use tower::limit::ConcurrencyLimit;
 use tower::load_shed::LoadShed;
 use tower::{ServiceBuilder, ServiceExt};
@@ -207,12 +206,13 @@
     fn admit(&self, stream: TcpStream, service: &BoundedService) {
         let counters = self.counters().clone();
         counters.connections_in.up();
-        let client = ClientSocket::new(Rc::new(stream));
+        let client = ClientSocket::new(self.open.next_number(), Rc::new(stream));
         let place = self.open.enter(client.clone());
         // Room is made before there is none: clients that keep their connections for good must not leave a burst
         // to those that are refused.
         let crowded = self.open.count() > self.bound * 3 / 4;
         let over = crowded && !self.open.make_room(&counters) && self.open.count() > self.bound;
+        log::debug!("connection {}: accepted, {} are open", client.number(), self.open.count());
         if over {
             counters.connections_over_bound.up();
         }
@@ -223,13 +223,13 @@
             over,
             stage: self.stage.clone(),
         };
-        let (stage, accepted) = (self.stage.clone(), Instant::now());
+        let stage = self.stage.clone();
         tokio::task::spawn_local(async move {
             let _place = place;
             let answer = move |request| -> Local<Result<Response<Answering>, Infallible>> {
                 Box::pin(answering.clone().answer(request))
             };
-            serve(hyper::service::service_fn(answer), stage, &client, &counters, accepted).await;
+            serve(hyper::service::service_fn(answer), stage, &client, &counters).await;
         });
     }
 }
@@ -253,11 +253,13 @@
         let client = self.client.clone();
         let arrival = Arrival { request, client: client.clone(), stage: self.stage.clone() };
         let mut response = if self.over {
+            log::debug!("connection {}: a request is refused: too many connections", client.number());
             platform::refusal(Some(RETRY_AFTER))
         } else {
             match self.service.clone().oneshot(arrival).await {
                 Ok(response) => response,
                 Err(_) => {
+                    log::debug!("connection {}: a request is refused: too many wait", client.number());
                     self.counters.over_bound.up();
                     platform::refusal(Some(RETRY_AFTER))
                 }
--- a/src/net/service.rs
+++ b/src/net/service.rs
@@ -124,11 +124,13 @@
         }
         // Its request may have waited behind an earlier one, or to be accepted.
         if client.has_left() {
+            log::debug!("request {}: refused: its client has left", intake.id);
             shared.counters.clients_left.up();
             return platform::refusal(None);
         }
         // The process may end before the deadline of what comes this late; nothing is lost if it is sent elsewhere.
         if *stage.borrow() == Stage::Closing {
+            log::debug!("request {}: refused: it came in the closing stage of a shutdown", intake.id);
             shared.counters.refused_at_shutdown.up();
             return platform::refusal(Some(RETRY_AFTER));
         }
@@ -138,6 +140,7 @@
         if !shared.ids.borrow_mut().insert(intake.id.clone()) {
             return self.bad(StatusCode::CONFLICT, "a request with this id is in hand\n");
         }
+        log::debug!("request {}: taken on connection {}", intake.id, client.number());
         let in_hand = IdInUse(shared.clone(), intake.id.clone());
         let target = head.uri.path_and_query().map_or(platform::PATH, |p| p.as_str()).to_owned();
         let keeps: Option<Rc<dyn Any>> = Some(Rc::new((in_hand, held)));
@@ -167,6 +170,7 @@
                 return Err(too_long());
             }
             if !held.grow(data.len()) {
+                log::debug!("connection {}: a request is refused: no room for bodies", client.number());
                 self.shared.counters.over_bound.up();
                 return Err(platform::refusal(Some(RETRY_AFTER)));
             }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -3,6 +3,7 @@
 //! Preble's E2 decides the ordinary path; everything else answers a trouble and says which.
 
 use crate::interface::*;
+use crate::rules::effect::{EarlierAttempt, is_refusal_harmless, repeat_before};
 use crate::state::*;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -229,12 +230,14 @@
             Phase::Streaming | Phase::Done => {}
             // Its time-out is trimmed to the deadline and its outcome comes within the slack.
             Phase::Reading | Phase::Writing if self.now < r.ask.deadline => {}
-            Phase::Reading | Phase::Writing => self.finish(id, out),
-            _ if hopeless || spent || stuck => self.finish(id, out),
+            Phase::Reading | Phase::Writing => self.finish(id, EndReason::DeadlinePassed, out),
+            _ if hopeless => self.finish(id, EndReason::NoTimeLeft, out),
+            _ if spent => self.finish(id, EndReason::AttemptsSpent, out),
+            _ if stuck => self.finish(id, EndReason::MayNotRepeat, out),
             Phase::Waiting => self.begin(id, out),
             // A writer had no room for it, and it is late now: all it can still do is make others late.
             Phase::Held if r.hung_at_a_writer() && self.now >= r.arrived + self.aim(r) => {
-                self.finish(id, out)
+                self.finish(id, EndReason::LateInAJam, out)
             }
             Phase::Held => {
                 let release_by = r.quiet_since + self.set.release.saturating_sub(margin + self.set.tick);
@@ -295,7 +298,8 @@
             self.send(id, &target, (!direct).then_some(unread), out);
         } else if doomed || late || r.over_share {
             // Can't be in time any more, or is worth least: told at once.
-            self.finish(id, out);
+            let useless = if late { EndReason::CannotBeUseful } else { EndReason::OverShare };
+            self.finish(id, if doomed { EndReason::CannotBeginInTime } else { useless }, out);
         }
     }
 
@@ -616,43 +620,37 @@
 
     /// Until when a request that may have run may arrive at this worker again; `None`: never.
     fn repeat_before(&self, r: &Request, w: &Worker) -> Option<Micros> {
-        let group = match self.set.classes[r.class].effect {
-            Effect::Safe => return Some(Micros::MAX),
-            Effect::Unsafe => return None,
-            Effect::Keyed(group) => group,
+        let class = &self.set.classes[r.class];
+        let same_group = |first: &Worker| match class.effect {
+            Effect::Keyed(Group::Zone) => first.zone == w.zone,
+            Effect::Keyed(Group::Cell) => first.cell == w.cell,
+            Effect::Keyed(Group::All) | Effect::Safe | Effect::Unsafe => true,
         };
-        let window = self.set.classes[r.class].repeat_window;
         let ran = r.attempts.iter().filter(|a| a.writes && !a.outcome.is_some_and(Outcome::never_ran));
-        let ends = ran.map(|a| {
-            let first = self.workers.get(&a.worker)?;
-            let same = match group {
-                Group::All => true,
-                Group::Zone => first.zone == w.zone,
-                Group::Cell => first.cell == w.cell,
-            };
-            same.then_some(a.sent.saturating_add(window))
+        let earlier = ran.map(|a| EarlierAttempt {
+            sent: a.sent,
+            same_group: self.workers.get(&a.worker).is_some_and(same_group),
         });
-        ends.min().unwrap_or(Some(Micros::MAX))
+        repeat_before(class.effect, class.repeat_window, earlier)
     }
 
     // ------------------------------------------------------------ the one place that ends requests
 
     /// Gives the final answer, at once: a refusal with advice where trying again is harmless, else a failure.
-    fn finish(&mut self, id: RequestId, out: &mut Vec<Action>) {
+    fn finish(&mut self, id: RequestId, reason: EndReason, out: &mut Vec<Action>) {
         let Some(r) = self.requests.get(&id) else { return };
         if matches!(r.phase, Phase::Done | Phase::Streaming) {
             return;
         }
-        let effect = self.set.classes[r.class].effect;
-        if matches!(effect, Effect::Safe | Effect::Keyed(Group::All)) || !r.may_have_run() {
+        if is_refusal_harmless(self.set.classes[r.class].effect, r.may_have_run()) {
             let retry_after = self.set.retry_advice.then(|| {
                 // Spread, so that those refused together don't come back together.
                 let spread = xxh3_64_with_seed(&id.0.to_le_bytes(), self.seed) % 1000;
                 self.set.max_retry_after / 2 + self.set.max_retry_after / 2 * spread / 1000
             });
-            out.push(Action::Refuse { request: id, retry_after });
+            out.push(Action::Refuse { request: id, retry_after, reason });
         } else {
-            out.push(Action::Fail { request: id });
+            out.push(Action::Fail { request: id, reason });
         }
         self.close(id, out);
     }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -495,10 +495,10 @@
         Action::Send { request, worker, timeout, .. } => {
             writeln!(out, "DELIVER\t{router}\t{}\t{}\t{}", request.0, worker.0, or_dash(*timeout))
         }
-        Action::Refuse { request, retry_after } => {
+        Action::Refuse { request, retry_after, .. } => {
             writeln!(out, "DECLINE\t{router}\t{}\t{}", request.0, or_dash(*retry_after))
         }
-        Action::Fail { request } => writeln!(out, "FAIL\t{router}\t{}", request.0),
+        Action::Fail { request, .. } => writeln!(out, "FAIL\t{router}\t{}", request.0),
         Action::Drop { request, attempt } => {
             writeln!(out, "DROP_ATTEMPT\t{router}\t{}\t{}", request.0, attempt.0)
         }
--- a/tests/support/rig.rs
+++ b/tests/support/rig.rs
@@ -168,3 +168,8 @@
 pub fn releases(actions: &[Action]) -> usize {
     actions.iter().filter(|a| matches!(a, Action::Release { .. })).count()
 }
+
+/// Whether a request is answered as failed.
+pub fn fails(actions: &[Action], request: u64) -> bool {
+    actions.iter().any(|a| matches!(a, Action::Fail { request: failed, .. } if failed.0 == request))
+}
