Test that a burst of connections waits in the system's queue (red)

The listener's queue is 128.

The soak now writes the routers' logs (--logs), excuses what a silent link kept back and what a killed router dropped.

--- a/crates/emulator/src/history.rs
+++ b/crates/emulator/src/history.rs
@@ -172,6 +172,11 @@
         /// The connection.
         connection: ConnectionNumber,
     },
+    /// A connection's link fell silent: what its worker says does not reach the router for now.
+    ConnectionSilenced {
+        /// The connection.
+        connection: ConnectionNumber,
+    },
     /// The last byte of a call has reached a running worker.
     CallArrived {
         /// What it asks.
--- a/crates/emulator/src/link.rs
+++ b/crates/emulator/src/link.rs
@@ -155,6 +155,7 @@
             last_heard: None,
             reset_at: None,
             router_closed: false,
+            is_silenced: false,
         };
         let end = carrier.run(&stream, near).await;
         if end == End::Reset {
@@ -223,6 +224,8 @@
     reset_at: Option<Instant>,
     /// Whether the router has ended the connection.
     router_closed: bool,
+    /// Whether the link has been silent meanwhile.
+    is_silenced: bool,
 }
 
 impl Carrier<'_> {
@@ -232,6 +235,9 @@
         loop {
             let state = *self.state.borrow_and_update();
             let is_up = state.reach != Reach::Silent;
+            if !is_up && !std::mem::replace(&mut self.is_silenced, true) {
+                self.link.history.add(Record::ConnectionSilenced { connection: self.connection });
+            }
             if is_up && !self.held.is_empty() && to_worker.write_all(&self.held).await.is_ok() {
                 self.held.clear();
             }
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -37,6 +37,9 @@
     /// The fault shim.
     #[arg(long, default_value = "target/release/libfault_shim.so")]
     shim: PathBuf,
+    /// A folder for the routers' logs.
+    #[arg(long)]
+    logs: Option<PathBuf>,
     /// A folder for reports.
     #[arg(long, default_value = "found/soak")]
     reports: PathBuf,
@@ -79,6 +82,10 @@
     let entries = finished.world.history().entries();
     let (violations, summary) = judge(&entries, &finished.world.deployment, finished.watched);
     println!("seed {seed}: {}", report::headline(&violations, &summary));
+    if let Some(logs) = &arguments.logs {
+        std::fs::create_dir_all(logs)?;
+        report::write_logs(&finished, &entries, logs)?;
+    }
     std::fs::create_dir_all(&arguments.reports)?;
     let file = arguments.reports.join(format!("seed-{seed}.txt"));
     std::fs::write(file, report::text(&finished, &entries, &violations, &summary))?;
--- a/crates/soak/src/oracle/answers.rs
+++ b/crates/soak/src/oracle/answers.rs
@@ -110,7 +110,7 @@
     }
     let finished = request.attempts.iter().find(|attempt| {
         let is_whole = attempt.answer.as_ref().is_some_and(|answer| answer.status == 200 && answer.is_whole);
-        is_whole && attempt.broken.is_none()
+        is_whole && attempt.broken.is_none() && !attempt.is_silenced
     });
     if finished.is_some() {
         let detail = "cut off, though its worker had finished it";
--- a/crates/soak/src/oracle/view.rs
+++ b/crates/soak/src/oracle/view.rs
@@ -82,6 +82,8 @@
     pub closed: Option<Micros>,
     /// When the network or the worker ended it.
     pub broken: Option<Micros>,
+    /// Whether the link has been silent meanwhile.
+    pub is_silenced: bool,
 }
 
 impl Attempt {
@@ -243,6 +245,7 @@
                     answer: None,
                     closed: None,
                     broken: None,
+                    is_silenced: false,
                 };
                 if let Some(request) = self.requests.get_mut(request) {
                     request.attempts.push(attempt);
@@ -267,6 +270,13 @@
                     attempt.closed = Some(at);
                 }
             }
+            Record::ConnectionSilenced { connection } => {
+                if let Some(request) = connections.get(connection)
+                    && let Some(attempt) = self.attempt(&request.clone(), *connection)
+                {
+                    attempt.is_silenced = true;
+                }
+            }
             Record::ConnectionBroken { connection } => {
                 if let Some(request) = connections.get(connection)
                     && let Some(attempt) = self.attempt(&request.clone(), *connection)
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -6,6 +6,8 @@
 use emulator::history::{Entry, Record, RequestName};
 use std::collections::BTreeMap;
 use std::fmt::Write;
+use std::io;
+use std::path::Path;
 
 /// Violations of one promise that are shown in full.
 const SHOWN_IN_FULL: usize = 2;
@@ -48,6 +50,22 @@
     out
 }
 
+/// Writes each router's log to a file of its own, with the moments of the run.
+///
+/// # Errors
+/// A file can't be written.
+pub fn write_logs(finished: &Finished, entries: &[Entry], folder: &Path) -> io::Result<()> {
+    let start = entries.first().map_or(0, |entry| entry.at);
+    for router in &finished.world.routers {
+        let mut text = String::new();
+        for line in router.log.lines_with("") {
+            let _ = writeln!(text, "{:>8} ms  {}", since(start, line.at), line.text);
+        }
+        std::fs::write(folder.join(format!("seed-{}-router-{}.log", finished.seed, router.index)), text)?;
+    }
+    Ok(())
+}
+
 /// A run in one line.
 pub fn headline(violations: &[Violation], summary: &Summary) -> String {
     let mut counts: BTreeMap<Promise, (usize, usize)> = BTreeMap::new();
--- a/crates/soak/src/router.rs
+++ b/crates/soak/src/router.rs
@@ -22,7 +22,7 @@
 /// Most lines of a router's log that are kept.
 const MAX_LOG_LINES: usize = 400_000;
 /// Words in the log that tell of a fault in the program.
-const COMPLAINTS: [&str; 3] = ["violation:", "panicked", "ended by the driver"];
+const COMPLAINTS: [&str; 2] = ["violation:", "panicked"];
 
 /// The programs that a run needs.
 #[derive(Clone, Debug)]
@@ -59,12 +59,6 @@
         let lines = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         lines.iter().filter(|line| line.text.contains(text)).cloned().collect()
     }
-
-    /// The last lines.
-    pub fn last(&self, count: usize) -> Vec<LogLine> {
-        let lines = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        lines[lines.len().saturating_sub(count)..].to_vec()
-    }
 }
 
 /// One router's place in the fleet; its process may be started and ended many times.
--- a/tests/bad_clients.rs
+++ b/tests/bad_clients.rs
@@ -5,8 +5,9 @@
 
 use rstest::rstest;
 use std::io::{BufReader, Read, Write};
-use std::net::Shutdown;
+use std::net::{Shutdown, TcpStream};
 use std::sync::{Mutex, mpsc};
+use std::time::Duration;
 use support::*;
 
 const HEAD: &str = "POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\nx-request-id: a\r\nx-class: send\r\n\
@@ -261,3 +262,16 @@
     assert_eq!((answer.status(), answer.header("connection")), (413, Some("close")));
     assert!(!sent.join().unwrap());
 }
+
+/// Guards against newcomers that the system turned away: its queue held 128 connections, and whoever came behind them, in a
+/// burst or while the process was held up, tried again a second later.
+#[test]
+fn a_burst_of_connections_waits_in_the_systems_queue() {
+    const BURST: usize = 400;
+    let conductor = Conductor::start(&operator_file(&[Peer::nobody()], &[Peer::nobody()], ""));
+    conductor.signal("-STOP");
+    let connect = |_| TcpStream::connect_timeout(&conductor.address, Duration::from_millis(500));
+    let connected: Vec<_> = (0..BURST).map(connect).take_while(Result::is_ok).collect();
+    conductor.signal("-CONT");
+    assert_eq!(connected.len(), BURST);
+}
