Let as many connections wait to be accepted as the router has descriptors

Cause: the listener was opened with the runtime's default backlog of 128. Behind it the system dropped SYNs, and their clients came again a second later, then three: requests without much time were over before they were accepted.

Change: net::socket::listen asks for limits.sockets places; the system cuts that to its own bound.

--- a/src/main.rs
+++ b/src/main.rs
@@ -5,7 +5,6 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Notify, watch};
 use whinhaven::config::{Config, ConfigError};
@@ -21,6 +20,7 @@
 use whinhaven::net::pool::{Pool, PoolLimits, REST};
 use whinhaven::net::server::{Listener, RESERVED_CONNECTIONS, Stage};
 use whinhaven::net::service::{RequestService, Shared};
+use whinhaven::net::socket::listen;
 
 /// After SIGTERM new connections keep coming for up to 0.4 s; they are accepted for longer than that.
 const ACCEPT_ON: Duration = Duration::from_millis(700);
@@ -144,7 +144,7 @@
     let mut term = signal(SignalKind::terminate()).map_err(failed)?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(failed)?;
     let mut usr1 = signal(SignalKind::user_defined1()).map_err(failed)?;
-    let listener = TcpListener::bind(config.listen).await;
+    let listener = listen(config.listen, config.limits.sockets);
     let bound = listener.and_then(|l| Ok((l.local_addr()?, l)));
     let (address, listener) = bound.map_err(|e| ConfigError(format!("listen {}: {e}", config.listen)))?;
     let counters = Rc::new(Counters::default());
--- a/src/net/socket.rs
+++ b/src/net/socket.rs
@@ -13,7 +13,7 @@
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::time::{Instant, Sleep};
 
 /// Before a call is made again that failed for want of something at this machine.
@@ -33,6 +33,19 @@
     }
 }
 
+/// Listens with room for so many connections that wait to be accepted. The runtime's own default is 128: what came behind
+/// them in a burst, or while the process was held up, was turned away by the system and tried again a second later.
+///
+/// # Errors
+/// The address can't be listened on.
+pub fn listen(address: SocketAddr, waiting: usize) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    // A process that starts anew takes its address from connections that the last one left behind.
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(u32::try_from(waiting).unwrap_or(u32::MAX))
+}
+
 /// Connects; what fails at this machine is tried again until `give_up`.
 ///
 /// # Errors
