--- a/crates/soak/src/oracle/view.rs
+++ b/crates/soak/src/oracle/view.rs
@@ -267,7 +267,7 @@
                 if let Some(request) = connections.get(connection)
                     && let Some(attempt) = self.attempt(&request.clone(), *connection)
                 {
-                    attempt.closed = Some(at);
+                    attempt.closed.get_or_insert(at);
                 }
             }
             Record::ConnectionSilenced { connection } => {
@@ -281,7 +281,7 @@
                 if let Some(request) = connections.get(connection)
                     && let Some(attempt) = self.attempt(&request.clone(), *connection)
                 {
-                    attempt.broken = Some(at);
+                    attempt.broken.get_or_insert(at);
                 }
             }
             Record::WorkerStarted { worker, role, zone, cell, .. } => {
