--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -28,9 +28,9 @@
     /// Play without any trouble.
     #[arg(long)]
     calm: bool,
-    /// Play only troubles whose name holds this.
-    #[arg(long)]
-    only: Option<String>,
+    /// Play only troubles whose names hold one of these, separated by commas.
+    #[arg(long, value_delimiter = ',')]
+    only: Vec<String>,
     /// The router program.
     #[arg(long, default_value = "target/release/whinhaven")]
     router: PathBuf,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -46,8 +46,8 @@
     pub troubled: Micros,
     /// Whether there are no troubles at all.
     pub is_calm: bool,
-    /// Only troubles whose name holds this.
-    pub only: Option<String>,
+    /// Only troubles whose names hold one of these, if there are any.
+    pub only: Vec<String>,
     /// The programs.
     pub programs: Programs,
     /// A folder for files.
@@ -219,7 +219,8 @@
     let workers = deployment.prefill_workers + deployment.decode_workers;
     let mut plan = trouble::plan(&mut random, options.routers, workers, options.troubled);
     plan.retain(|planned| {
-        let is_wanted = options.only.as_ref().is_none_or(|only| planned.trouble.name().contains(only));
+        let name = planned.trouble.name();
+        let is_wanted = options.only.is_empty() || options.only.iter().any(|only| name.contains(only));
         is_wanted && !options.is_calm
     });
     let start = clock::now();
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -3,294 +3,35 @@
 //! It knows no wire. Requests come in through a [`CoreHandle`], what goes out goes through [`Outbound`], and
 //! how it went comes back as [`Input`]. Everything runs on one thread and in the order of one queue.
 
+mod clock;
+mod handle;
 mod held;
+mod open_request;
+mod outbound;
+
+pub use clock::Clock;
+pub use handle::{CoreHandle, Input};
+pub use outbound::{Attempt, Outbound, Releasing};
 
 use crate::counters::Counters;
-use crate::exchange::{AnswerHandle, Call, Feed, RequestState, ServerSide, open};
+use crate::exchange::{AnswerHandle, Call, Feed};
 use crate::interface::*;
 use crate::policy::Policy;
 use crate::rules::Rule;
 use crate::rules::effect::is_refusal_harmless;
-use crate::rules::send::{RequestFacts, may_attempt};
+use crate::rules::send::may_attempt;
 use held::HeldState;
+use open_request::{Open, Slot};
 use std::cell::Cell;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tokio::sync::{Notify, mpsc, oneshot};
-use tokio::time::Instant;
+use tokio::sync::{mpsc, oneshot};
 
 /// Timers and guards that are kept without looking whether anything still needs them.
 const MOST_DUE: usize = 1024;
 
-/// The conductor's clock: microseconds since 1970 at its start, monotonic from there. All machines read a
-/// single clock, so starts of model hosts can be set against it.
-#[derive(Clone, Copy, Debug)]
-pub struct Clock {
-    origin: Instant,
-    at_origin: Micros,
-}
-
-impl Clock {
-    /// Starts the clock.
-    pub fn start() -> Self {
-        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { origin: Instant::now(), at_origin: since.as_micros() as Micros }
-    }
-
-    /// Now.
-    pub fn now(&self) -> Micros {
-        self.at_origin + self.origin.elapsed().as_micros() as Micros
-    }
-
-    /// So long before now.
-    pub fn ago(&self, time: Duration) -> Micros {
-        self.now().saturating_sub(time.as_micros() as Micros)
-    }
-
-    /// A moment as the runtime counts it.
-    pub fn instant(&self, at: Micros) -> Instant {
-        self.origin + Duration::from_micros(at.saturating_sub(self.at_origin))
-    }
-}
-
-/// One send of a request, for the client side to carry out.
-pub struct Attempt {
-    /// The request.
-    pub request: RequestId,
-    /// Whether it still waits for its final answer: else nothing may begin for it.
-    pub state: RequestState,
-    /// The attempt.
-    pub attempt: AttemptIndex,
-    /// Where it goes.
-    pub worker: WorkerId,
-    /// Whether the worker is to read the prompt only: then its answer is no stream, else it is one.
-    pub reads: bool,
-    /// What is sent.
-    pub call: Rc<Call>,
-    /// When to stop waiting for the first event.
-    pub until: Micros,
-    /// It may only begin before this.
-    pub begin_before: Option<Micros>,
-    /// A release to wait for: one that comes while this is out would take what it leaves.
-    pub after: Option<Rc<Releasing>>,
-    /// Resolves, or its other end is dropped, when the attempt is to be dropped.
-    pub cancelled: oneshot::Receiver<()>,
-    /// To be set before anything of the request is written.
-    pub begun: Rc<Cell<bool>>,
-}
-
-/// A release in progress, as seen from both ends.
-#[derive(Default)]
-pub struct Releasing {
-    stopped: Cell<bool>,
-    done: Cell<bool>,
-    changed: Notify,
-}
-
-impl Releasing {
-    /// Ends it: going on would do harm.
-    pub fn stop(&self) {
-        self.stopped.set(true);
-        self.changed.notify_waiters();
-    }
-
-    /// Waits until it is ended.
-    pub async fn stopped(&self) {
-        self.until(&self.stopped).await;
-    }
-
-    /// Some model host has taken it.
-    pub fn set_done(&self) {
-        self.done.set(true);
-        self.changed.notify_waiters();
-    }
-
-    /// Waits until some model host has taken it.
-    pub async fn done(&self) {
-        self.until(&self.done).await;
-    }
-
-    async fn until(&self, flag: &Cell<bool>) {
-        while !flag.get() {
-            self.changed.notified().await;
-        }
-    }
-}
-
-/// What the client side does for the core. Nothing here waits; results come back as [`Input`].
-pub trait Outbound {
-    /// Sends a request. Answered by one [`Input::Ended`].
-    fn send(&self, attempt: Attempt);
-    /// Lets go of all that is held for a request, at whichever model host; stops trying when told.
-    fn release(&self, call: Rc<Call>, releasing: Rc<Releasing>);
-    /// Asks a writer to hold a place. Answered by [`Input::Place`] if the writer can be heard.
-    fn hold(&self, request: RequestId, call: Rc<Call>, worker: WorkerId);
-    /// Probes a model host. Answered by [`Input::Probed`].
-    fn probe(&self, worker: WorkerId);
-    /// Closes idle connections.
-    fn hang_up(&self, worker: &WorkerId);
-    /// Asks discovery once for the whole list.
-    fn fetch_list(&self);
-}
-
-/// What comes to the core.
-pub enum Input {
-    /// A request was taken.
-    Ask {
-        /// What the module is told.
-        ask: Ask,
-        /// What is passed on.
-        call: Rc<Call>,
-        /// For the final answer.
-        answer: AnswerHandle,
-    },
-    /// The client has left.
-    Left(RequestId),
-    /// The first event of a stream has come.
-    First {
-        /// The request.
-        request: RequestId,
-        /// The attempt.
-        attempt: AttemptIndex,
-        /// The stream.
-        feed: Feed,
-    },
-    /// An attempt has ended.
-    Ended {
-        /// The request.
-        request: RequestId,
-        /// The attempt.
-        attempt: AttemptIndex,
-        /// How.
-        outcome: Outcome,
-        /// Prompt tokens found kept.
-        kept: u64,
-        /// The model host's load, if told.
-        report: Option<Report>,
-    },
-    /// News of the list.
-    List {
-        /// How it came.
-        kind: ListKind,
-        /// Its entries.
-        entries: Vec<Entry>,
-    },
-    /// The answer to a hold.
-    Place {
-        /// The request.
-        request: RequestId,
-        /// The writer.
-        worker: WorkerId,
-        /// Whether the place is held.
-        held: bool,
-    },
-    /// A probe's result.
-    Probed {
-        /// The model host.
-        worker: WorkerId,
-        /// How it went.
-        outcome: Outcome,
-        /// Its load, if told.
-        report: Option<Report>,
-    },
-}
-
-/// The way in to the core.
-#[derive(Clone)]
-pub struct CoreHandle {
-    inputs: mpsc::UnboundedSender<Input>,
-    next: Rc<Cell<u64>>,
-    /// The clock that the core goes by.
-    pub clock: Clock,
-}
-
-impl CoreHandle {
-    /// A handle and what the core reads. The queue has no bound of its own: the requests in hand have one.
-    pub fn channel(clock: Clock) -> (Self, mpsc::UnboundedReceiver<Input>) {
-        let (inputs, queue) = mpsc::unbounded_channel();
-        (CoreHandle { inputs, next: Rc::new(Cell::new(1)), clock }, queue)
-    }
-
-    /// Tells the core.
-    pub fn tell(&self, input: Input) {
-        let _ = self.inputs.send(input);
-    }
-
-    /// Hands a request to the core; its number is filled in.
-    pub fn ask(&self, mut ask: Ask, call: Call) -> ServerSide {
-        let request = RequestId(self.next.get());
-        self.next.set(request.0 + 1);
-        ask.request = request;
-        let inputs = self.inputs.clone();
-        let left = move || _ = inputs.send(Input::Left(request));
-        let (server, answer) = open(Rc::new(left));
-        self.tell(Input::Ask { ask, call: Rc::new(call), answer });
-        server
-    }
-}
-
-/// A request that has no final answer yet, or attempts still out.
-struct Open {
-    call: Rc<Call>,
-    deadline: Micros,
-    /// Gone once the final answer is given.
-    answer: Option<AnswerHandle>,
-    state: RequestState,
-    effect: Effect,
-    attempts: Vec<Slot>,
-    held: HeldState,
-    releasing: Option<Rc<Releasing>>,
-}
-
-struct Slot {
-    sent: Micros,
-    /// Whether it is to read the prompt only, which is no effect.
-    reads: bool,
-    cancel: Option<oneshot::Sender<()>>,
-    outcome: Option<Outcome>,
-    begun: Rc<Cell<bool>>,
-    streaming: bool,
-}
-
-impl Open {
-    fn out(&self) -> bool {
-        self.attempts.iter().any(|s| s.outcome.is_none())
-    }
-
-    /// Whether an attempt that is over, or one that is out at a decode worker, may have had an effect.
-    fn may_have_run(&self) -> bool {
-        self.attempts.iter().any(|slot| match slot.outcome {
-            None => true,
-            Some(outcome) => !slot.reads && !outcome.never_ran(),
-        })
-    }
-
-    fn facts(&self, settings: &Settings) -> RequestFacts {
-        RequestFacts {
-            is_answered: self.answer.is_none(),
-            attempts: self.attempts.len(),
-            max_attempts: settings.max_attempts as usize,
-            attempts_out: self.attempts.iter().filter(|slot| slot.outcome.is_none()).count(),
-            second_copies: settings.second_copies,
-            effect: self.effect,
-            may_have_run: self.may_have_run(),
-        }
-    }
-
-    /// Takes the final answer, once. Whoever gives it, what has not begun does not begin any more, also where attempts
-    /// may not be dropped.
-    fn take_answer(&mut self) -> Option<AnswerHandle> {
-        let answer = self.answer.take()?;
-        for slot in self.attempts.iter_mut().filter(|slot| !slot.begun.get()) {
-            slot.cancel = None;
-        }
-        Some(answer)
-    }
-}
-
 #[derive(PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
     Timer(TimerId),
--- /dev/null
+++ b/src/core/outbound.rs
@@ -0,0 +1,87 @@
+//! What the driver asks of the client side.
+
+use crate::exchange::{Call, RequestState};
+use crate::interface::{AttemptIndex, Micros, RequestId, WorkerId};
+use std::cell::Cell;
+use std::rc::Rc;
+use tokio::sync::{Notify, oneshot};
+
+/// One send of a request, for the client side to carry out.
+pub struct Attempt {
+    /// The request.
+    pub request: RequestId,
+    /// Whether it still waits for its final answer: else nothing may begin for it.
+    pub state: RequestState,
+    /// The attempt.
+    pub attempt: AttemptIndex,
+    /// Where it goes.
+    pub worker: WorkerId,
+    /// Whether the worker is to read the prompt only: then its answer is no stream, else it is one.
+    pub reads: bool,
+    /// What is sent.
+    pub call: Rc<Call>,
+    /// When to stop waiting for the first event.
+    pub until: Micros,
+    /// It may only begin before this.
+    pub begin_before: Option<Micros>,
+    /// A release to wait for: one that comes while this is out would take what it leaves.
+    pub after: Option<Rc<Releasing>>,
+    /// Resolves, or its other end is dropped, when the attempt is to be dropped.
+    pub cancelled: oneshot::Receiver<()>,
+    /// To be set before anything of the request is written.
+    pub begun: Rc<Cell<bool>>,
+}
+
+/// A release in progress, as seen from both ends.
+#[derive(Default)]
+pub struct Releasing {
+    stopped: Cell<bool>,
+    done: Cell<bool>,
+    changed: Notify,
+}
+
+impl Releasing {
+    /// Ends it: going on would do harm.
+    pub fn stop(&self) {
+        self.stopped.set(true);
+        self.changed.notify_waiters();
+    }
+
+    /// Waits until it is ended.
+    pub async fn stopped(&self) {
+        self.until(&self.stopped).await;
+    }
+
+    /// Some worker has taken it.
+    pub fn set_done(&self) {
+        self.done.set(true);
+        self.changed.notify_waiters();
+    }
+
+    /// Waits until some worker has taken it.
+    pub async fn done(&self) {
+        self.until(&self.done).await;
+    }
+
+    async fn until(&self, flag: &Cell<bool>) {
+        while !flag.get() {
+            self.changed.notified().await;
+        }
+    }
+}
+
+/// What the client side does for the core. Nothing here waits; results come back as [`Input`](super::Input).
+pub trait Outbound {
+    /// Sends a request. Answered by one [`super::Input::Ended`].
+    fn send(&self, attempt: Attempt);
+    /// Lets go of all that is held for a request, at whichever worker; stops trying when told.
+    fn release(&self, call: Rc<Call>, releasing: Rc<Releasing>);
+    /// Asks a writer to hold a place. Answered by [`super::Input::Place`] if the writer can be heard.
+    fn hold(&self, request: RequestId, call: Rc<Call>, worker: WorkerId);
+    /// Probes a worker. Answered by [`super::Input::Probed`].
+    fn probe(&self, worker: WorkerId);
+    /// Closes idle connections.
+    fn hang_up(&self, worker: &WorkerId);
+    /// Asks discovery once for the whole list.
+    fn fetch_list(&self);
+}
