Release unanswered states within half of the slack, and at their holder first

Cause: a state was released 0.5 s after the read, though the protocol grants 0.3 s more, and decode workers that hang are given up for others just then; and a release went to workers in no order, hung ones included.

Change: under an unanswered attempt the release waits for half of the slack (0.65 s in all); a release is first asked of the prefill worker that has just answered the read.

--- a/src/core/held.rs
+++ b/src/core/held.rs
@@ -4,34 +4,39 @@
 //! and is not out, and nothing tells it from one that waits in a decode worker's queue. So a state is let go at its limit
 //! under an unanswered attempt, too: workers keep it for an attempt that has arrived.
 
-use crate::interface::{Micros, Outcome};
+use crate::interface::{Micros, Outcome, WorkerId};
 
-/// By then an attempt has arrived, if it does: half of the slack that the protocol grants beyond the settings' limit. The
-/// other half is for the release to arrive.
-const ARRIVAL: Micros = 150_000;
+/// How much longer an attempt may take to be answered, or to be given up for another one: half of the slack that the
+/// protocol grants beyond the settings' limit. The other half is for the release to arrive.
+const UNANSWERED: Micros = 150_000;
 
 /// A request's state at a prefill worker, as far as outcomes tell.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct HeldState {
     /// Since when no attempt is known to have been out; `None` while nothing is held.
     unattended_since: Option<Micros>,
+    /// The worker that holds it.
+    holder: Option<WorkerId>,
     /// Whether it was released under the attempt that is out.
     is_released: bool,
-    /// When the attempt that is out was sent.
-    sent: Option<Micros>,
+    /// Whether an attempt is out.
+    is_out: bool,
 }
 
 impl HeldState {
     /// An attempt was sent.
-    pub fn attempt_sent(&mut self, now: Micros) {
-        self.sent = Some(now);
+    pub fn attempt_sent(&mut self) {
+        self.is_out = true;
     }
 
-    /// An attempt has ended.
-    pub fn attempt_ended(&mut self, outcome: Outcome, now: Micros) {
-        self.sent = None;
+    /// An attempt at a worker has ended.
+    pub fn attempt_ended(&mut self, worker: &WorkerId, outcome: Outcome, now: Micros) {
+        self.is_out = false;
         match outcome {
-            Outcome::Read => *self = HeldState { unattended_since: Some(now), ..HeldState::default() },
+            Outcome::Read => {
+                let (unattended_since, holder) = (Some(now), Some(worker.clone()));
+                *self = HeldState { unattended_since, holder, ..HeldState::default() };
+            }
             Outcome::Served | Outcome::NoState => self.let_go(),
             // It had arrived, and was out until now.
             Outcome::TurnedAway | Outcome::Error => self.renew(now),
@@ -51,7 +56,8 @@
 
     /// It was taken over, or its release is on its way.
     pub fn let_go(&mut self) {
-        *self = HeldState { sent: self.sent, ..HeldState::default() };
+        self.unattended_since = None;
+        self.is_released = false;
     }
 
     /// It is released under the attempt that is out, if any.
@@ -64,10 +70,15 @@
         self.unattended_since.is_some() && !self.is_released
     }
 
+    /// The worker that holds it, or held it last.
+    pub fn holder(&self) -> Option<&WorkerId> {
+        self.holder.as_ref()
+    }
+
     /// When it has to be released, if nothing changes.
     pub fn release_due(&self, limit: Micros) -> Option<Micros> {
         let since = self.unattended_since.filter(|_| !self.is_released)?;
-        let arrived = self.sent.map_or(0, |sent| sent.saturating_add(ARRIVAL));
-        Some(since.saturating_add(limit).max(arrived))
+        let unanswered = if self.is_out { UNANSWERED } else { 0 };
+        Some(since.saturating_add(limit).saturating_add(unanswered))
     }
 }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -212,7 +212,7 @@
         slot.cancel = None;
         let now = self.clock.now();
         let elapsed = now.saturating_sub(slot.sent);
-        open.held.attempt_ended(outcome, now);
+        open.held.attempt_ended(&slot.worker, outcome, now);
         let release_due = open.held.release_due(self.settings.release);
         log::debug!(
             "request {}: attempt {} ended {outcome:?} after {elapsed} us, {kept} kept",
@@ -380,6 +380,7 @@
         let (cancel, slot_begun) = (Some(cancel), begun.clone());
         open.attempts.push(Slot {
             sent: now,
+            worker: worker.clone(),
             reads,
             cancel,
             outcome: None,
@@ -396,7 +397,7 @@
             until.saturating_sub(now)
         );
         let after = open.releasing.take();
-        open.held.attempt_sent(now);
+        open.held.attempt_sent();
         self.outbound.send(Attempt {
             request,
             state: open.state.clone(),
@@ -436,7 +437,7 @@
 
     fn begin_release(&mut self, request: RequestId) {
         let Some(open) = self.open.get_mut(&request) else { return };
-        let releasing = Rc::<Releasing>::default();
+        let releasing = Rc::new(Releasing::of(open.held.holder()));
         self.counters.releases.up();
         self.outbound.release(open.call.clone(), releasing.clone());
         open.releasing = Some(releasing);
--- a/src/core/open_request.rs
+++ b/src/core/open_request.rs
@@ -3,7 +3,7 @@
 use super::held::HeldState;
 use super::outbound::Releasing;
 use crate::exchange::{AnswerHandle, Call, RequestState};
-use crate::interface::{Effect, Micros, Outcome, Settings};
+use crate::interface::{Effect, Micros, Outcome, Settings, WorkerId};
 use crate::rules::send::RequestFacts;
 use std::cell::Cell;
 use std::rc::Rc;
@@ -25,6 +25,7 @@
 /// One attempt of it.
 pub(super) struct Slot {
     pub sent: Micros,
+    pub worker: WorkerId,
     /// Whether it is to read the prompt only, which is no effect.
     pub reads: bool,
     pub cancel: Option<oneshot::Sender<()>>,
--- a/src/core/outbound.rs
+++ b/src/core/outbound.rs
@@ -35,12 +35,23 @@
 /// A release in progress, as seen from both ends.
 #[derive(Default)]
 pub struct Releasing {
+    holder: Option<WorkerId>,
     stopped: Cell<bool>,
     done: Cell<bool>,
     changed: Notify,
 }
 
 impl Releasing {
+    /// A release of what a worker holds, or held last: it has just answered, so it is asked first.
+    pub fn of(holder: Option<&WorkerId>) -> Self {
+        Releasing { holder: holder.cloned(), ..Releasing::default() }
+    }
+
+    /// The worker to ask first, if one is known.
+    pub fn holder(&self) -> Option<&WorkerId> {
+        self.holder.as_ref()
+    }
+
     /// Ends it: going on would do harm.
     pub fn stop(&self) {
         self.stopped.set(true);
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -320,7 +320,7 @@
         let path = format!("/internal/reservations/{}", call.id);
         let (told, mut heard) = tokio::sync::mpsc::channel::<()>(1);
         let begun = tokio::time::Instant::now();
-        let mut hosts = Vec::new();
+        let mut hosts: Vec<WorkerId> = releasing.holder().cloned().into_iter().collect();
         // Ends with this call what has not ended by then.
         let mut tries = JoinSet::new();
         while begun.elapsed() < RELEASE_WITHIN {
