Count late timers and log when the router is short of CPU time and when it catches up

The saved logs of the incident could not tell a router that falls behind from slow workers: no line said how late the thread was. The driver now measures it by the timers of the policy, which are there for as long as a request is in progress, counts those that are over 50 ms late (late_timers), and logs once when they have all been late for 0.2 s and once when they are on time again, with the requests in progress. The line of a received request tells how long it waited for the driver.

--- a/src/runtime/counters.rs
+++ b/src/runtime/counters.rs
@@ -105,6 +105,8 @@
     cache_releases_forced,
     /// Releases that no worker executed.
     cache_releases_failed,
+    /// Timers of the policy that fired so late that requests suffer: the router was held up, or is short of CPU time.
+    late_timers,
     /// Updates of the endpoint list, and failures to get one, that reached the driver.
     endpoint_updates,
     /// Watches of discovery that broke or fell silent.
--- a/src/runtime/driver/inputs.rs
+++ b/src/runtime/driver/inputs.rs
@@ -1,7 +1,7 @@
 //! What the driver does with its inputs: it updates the table of requests and notifies the policy.
 
-use super::Driver;
 use super::limits::DriverEndReason;
+use super::{Driver, MICROS_PER_MS};
 use crate::interface::{
     AttemptEnd, AttemptIndex, Event, Idempotency, Micros, Outcome, RequestId, RequestSpec,
 };
@@ -12,14 +12,11 @@
 use crate::runtime::timers::TimerEntry;
 use std::rc::Rc;
 
-/// Log lines state deadlines in ms.
-const MICROS_PER_MS: Micros = 1000;
-
 impl Driver {
     pub(super) fn handle_input(&mut self, input: DriverInput) {
         match input {
-            DriverInput::RequestReceived { spec, forwarded, responder } => {
-                self.request_received(spec, forwarded, responder)
+            DriverInput::RequestReceived { spec, received_at, forwarded, responder } => {
+                self.request_received(spec, received_at, forwarded, responder)
             }
             DriverInput::ClientDisconnected(request) => self.client_disconnected(request),
             DriverInput::StreamStarted { request, attempt, stream } => {
@@ -44,13 +41,21 @@
     }
 
     /// Enters a request in the table, limits the time for its final answer, and notifies the policy.
-    fn request_received(&mut self, spec: RequestSpec, forwarded: Rc<ForwardedRequest>, responder: Responder) {
+    fn request_received(
+        &mut self,
+        spec: RequestSpec,
+        received_at: Micros,
+        forwarded: Rc<ForwardedRequest>,
+        responder: Responder,
+    ) {
         self.counters.requests_received.increment();
+        let now = self.clock.now();
         log::debug!(
-            "request {}: received as number {}, {} ms left, class {}, {} prompt tokens",
+            "request {}: received as number {}, queued for {} us, {} ms left, class {}, {} prompt tokens",
             forwarded.id,
             spec.request.0,
-            spec.deadline.saturating_sub(self.clock.now()) / MICROS_PER_MS,
+            now.saturating_sub(received_at),
+            spec.deadline.saturating_sub(now) / MICROS_PER_MS,
             spec.class,
             spec.prompt_tokens
         );
--- a/src/runtime/driver/mod.rs
+++ b/src/runtime/driver/mod.rs
@@ -11,16 +11,20 @@
 use super::clock::Clock;
 use super::counters::Counters;
 use super::handle::DriverInput;
+use super::lag::{LATE, LagChange, LagMonitor};
 use super::outbound::Outbound;
 use super::request_table::RequestTable;
 use super::timers::{TimerEntry, TimerQueue};
-use crate::interface::{Action, Event, RequestId, Settings};
+use crate::interface::{Action, Event, Micros, RequestId, Settings};
 use crate::policy::Policy;
 use crate::rules::Invariant;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::rc::Rc;
 use tokio::sync::mpsc;
 
+/// Log lines state times in ms.
+const MICROS_PER_MS: Micros = 1000;
+
 /// The driver of one policy.
 pub struct Driver {
     policy: Policy,
@@ -30,6 +34,7 @@
     counters: Rc<Counters>,
     requests: RequestTable,
     timers: TimerQueue,
+    lag: LagMonitor,
     /// Empty between two events; kept for its memory.
     actions: Vec<Action>,
     /// Requests that the actions of the present event have answered.
@@ -53,6 +58,7 @@
             counters,
             requests: RequestTable::default(),
             timers: TimerQueue::default(),
+            lag: LagMonitor::default(),
             actions: Vec::new(),
             answered: Vec::new(),
         }
@@ -86,15 +92,37 @@
 
     fn fire_due_timers(&mut self) {
         let now = self.clock.now();
-        while let Some(entry) = self.timers.pop_due(now) {
+        while let Some((due, entry)) = self.timers.pop_due(now) {
             match entry {
-                TimerEntry::Policy(timer) => self.notify_policy(Event::Timer(timer)),
+                TimerEntry::Policy(timer) => {
+                    self.record_lag(due, now);
+                    self.notify_policy(Event::Timer(timer));
+                }
                 TimerEntry::AnswerDeadline(request) => self.enforce_answer_deadline(request),
                 TimerEntry::CacheHoldLimit(request) => self.enforce_cache_hold_limit(request, now),
             }
         }
     }
 
+    /// Records how late a timer of the policy fires. There is one for as long as a request is in progress.
+    fn record_lag(&mut self, due: Micros, now: Micros) {
+        if now.saturating_sub(due) > LATE {
+            self.counters.late_timers.increment();
+        }
+        let in_progress = self.requests.len();
+        match self.lag.record_timer(due, now) {
+            Some(LagChange::FellBehind { lag }) => log::warn!(
+                "the router is short of CPU time: its timers are {} ms late, {in_progress} requests are in progress",
+                lag / MICROS_PER_MS
+            ),
+            Some(LagChange::CaughtUp { after }) => log::warn!(
+                "the router's timers are on time again after {} ms, {in_progress} requests are in progress",
+                after / MICROS_PER_MS
+            ),
+            None => {}
+        }
+    }
+
     /// Hands an event to the policy and executes the actions that it returns. A panic of the policy costs
     /// that decision only: a request that the policy loses by it is ended at its answer deadline.
     fn notify_policy(&mut self, event: Event) {
--- a/src/runtime/handle.rs
+++ b/src/runtime/handle.rs
@@ -3,7 +3,7 @@
 use super::clock::Clock;
 use super::exchange::{ForwardedRequest, PendingResponse, Responder, ResponseStream, open};
 use crate::interface::{
-    AttemptIndex, Endpoint, LoadReport, Outcome, RequestId, RequestSpec, UpdateKind, WorkerId,
+    AttemptIndex, Endpoint, LoadReport, Micros, Outcome, RequestId, RequestSpec, UpdateKind, WorkerId,
 };
 use std::cell::Cell;
 use std::rc::Rc;
@@ -33,6 +33,8 @@
     RequestReceived {
         /// What the policy is told of it.
         spec: RequestSpec,
+        /// When it was submitted to the driver.
+        received_at: Micros,
         /// What is forwarded to workers.
         forwarded: Rc<ForwardedRequest>,
         /// Gives the final answer.
@@ -116,7 +118,8 @@
         let inputs = self.inputs.clone();
         let on_disconnect = move || _ = inputs.send(DriverInput::ClientDisconnected(request));
         let (pending, responder) = open(Rc::new(on_disconnect));
-        self.submit(DriverInput::RequestReceived { spec, forwarded: Rc::new(forwarded), responder });
+        let (received_at, forwarded) = (self.clock.now(), Rc::new(forwarded));
+        self.submit(DriverInput::RequestReceived { spec, received_at, forwarded, responder });
         pending
     }
 }
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -12,6 +12,7 @@
 pub mod exchange;
 mod handle;
 mod held_cache;
+mod lag;
 mod outbound;
 mod request_table;
 mod timers;
--- a/src/runtime/timers.rs
+++ b/src/runtime/timers.rs
@@ -40,12 +40,12 @@
         self.entries.peek().map(|Reverse((at, _))| *at)
     }
 
-    /// Removes the earliest entry if it is due by now.
-    pub fn pop_due(&mut self, now: Micros) -> Option<TimerEntry> {
+    /// Removes the earliest entry if it is due by now, and returns it with the time at which it was due.
+    pub fn pop_due(&mut self, now: Micros) -> Option<(Micros, TimerEntry)> {
         if self.next_due()? > now {
             return None;
         }
-        self.entries.pop().map(|Reverse((_, entry))| entry)
+        self.entries.pop().map(|Reverse(entry)| entry)
     }
 
     /// Drops the entries of requests that are over once they may be the majority. Answer deadlines stay in
--- /dev/null
+++ b/tests/large_fleet.rs
@@ -0,0 +1,79 @@
+//! A router of a fleet of thousands of workers.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::thread;
+use std::time::{Duration, Instant};
+use support::*;
+
+/// The workers of a large fleet of the usual size.
+const USUAL_WORKERS: usize = 200;
+/// The workers of the largest fleet that is supported.
+const MANY_WORKERS: usize = 3_200;
+
+/// Requests a second that the busiest routers see.
+const REQUESTS_PER_SECOND: u32 = 20;
+/// Requests of one measurement.
+const REQUESTS: u32 = 100;
+
+/// How much more CPU time a router may take in the largest fleet than in one of the usual size, for the same requests.
+const CPU_RATIO: f64 = 1.4;
+/// What it may take beyond that ratio: 0.02 s, and 0.03 s for each thousand workers.
+const CPU_ALLOWANCE: Duration = Duration::from_millis(116);
+
+/// Prefill and decode workers that answer at once. Each stands for many workers of the list.
+struct Workers([Vec<Peer>; 2]);
+
+impl Workers {
+    fn start() -> Workers {
+        let several = |start: fn() -> Peer| (0..3).map(|_| start()).collect();
+        Workers([several(Peer::prefill_worker), several(decode_worker)])
+    }
+
+    /// An operator's file that lists this many workers, half of them for each stage.
+    fn operator_file(&self, workers: usize, extra: &str) -> String {
+        let addresses = |peers: &[Peer]| -> Vec<SocketAddr> {
+            peers.iter().map(|peer| peer.address).cycle().take(workers / 2).collect()
+        };
+        let Workers([prefill, decode]) = self;
+        operator_file(&addresses(prefill), &addresses(decode), extra)
+    }
+}
+
+/// Sends requests at an even rate, none of them waiting for another, and returns their answers.
+fn send_at_rate(router: SocketAddr, requests: u32, per_second: u32) -> Vec<(Message, Duration)> {
+    let send = move |number: u32| {
+        thread::sleep(Duration::from_secs(1) * number / per_second);
+        let sent = Instant::now();
+        let answer = exchange(router, request(&format!("id-{number}"), "send", "hello").as_bytes());
+        (answer, sent.elapsed())
+    };
+    thread::scope(|scope| {
+        let clients: Vec<_> = (0..requests).map(|number| scope.spawn(move || send(number))).collect();
+        clients.into_iter().map(|client| client.join().unwrap()).collect()
+    })
+}
+
+/// The CPU time that a router of this many workers takes for [`REQUESTS`] requests, all of which have to be served.
+fn cpu_time_of_requests(workers: usize) -> Duration {
+    let fleet = Workers::start();
+    let router = RouterProcess::start(&fleet.operator_file(workers, ""));
+    let before = router.cpu_time();
+    let answers = send_at_rate(router.address, REQUESTS, REQUESTS_PER_SECOND);
+    let used = router.cpu_time() - before;
+    let served = answers.iter().filter(|(answer, _)| answer.status() == 200 && answer.whole).count();
+    let slowest = answers.iter().map(|(_, time)| *time).max().unwrap();
+    println!("{workers} workers: {served} served, {used:?} of CPU time, the slowest in {slowest:?}");
+    assert_eq!(served, REQUESTS as usize, "{workers} workers");
+    used
+}
+
+/// Guards against requests that get no final answer, and KV caches that are held too long, since each decision of a
+/// large fleet took so much CPU time that the router fell behind.
+#[test]
+fn requests_of_a_large_fleet_cost_hardly_more_than_those_of_a_usual_one() {
+    let usual = cpu_time_of_requests(USUAL_WORKERS);
+    let large = cpu_time_of_requests(MANY_WORKERS);
+    assert!(large <= usual.mul_f64(CPU_RATIO) + CPU_ALLOWANCE, "{usual:?} and {large:?}");
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -17,7 +17,7 @@
 pub use operator_file::operator_file;
 pub use peer::{Conn, Peer, recording_peer, recording_peer_with_releases, shared_channel};
 pub use requests::{request, rpc_request};
-pub use router_process::{Counters, RouterProcess};
+pub use router_process::{Counters, RouterProcess, exchange};
 pub use workers::{
     GatedDecodeWorker, HangingWorker, decode_worker, decode_worker_without_release, recording_decode_worker,
 };
--- a/tests/support/router_process.rs
+++ b/tests/support/router_process.rs
@@ -1,6 +1,7 @@
 //! The router as a process of its own, with its log and its counters.
 
 use super::{HANG_TIMEOUT, Message, request, rpc_request};
+use std::fs::DirEntry;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
@@ -8,6 +9,7 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, mpsc};
 use std::thread;
+use std::time::Duration;
 
 /// Descriptors that a router is granted where the test does not say.
 const DESCRIPTORS: usize = 1024;
@@ -84,6 +86,16 @@
         assert!(Command::new("kill").args([name, &pid]).status().unwrap().success());
     }
 
+    /// The CPU time that its threads have used so far.
+    pub fn cpu_time(&self) -> Duration {
+        let threads = std::fs::read_dir(format!("/proc/{}/task", self.child.id())).unwrap();
+        let nanoseconds = |thread: DirEntry| -> u64 {
+            let statistics = std::fs::read_to_string(thread.path().join("schedstat")).unwrap();
+            statistics.split(' ').next().unwrap().parse().unwrap()
+        };
+        Duration::from_nanos(threads.map(|thread| nanoseconds(thread.unwrap())).sum())
+    }
+
     /// Stops it gracefully; its counters.
     pub fn stop(mut self) -> Counters {
         self.signal("-TERM");
@@ -94,17 +106,12 @@
 
     /// A client's connection to it.
     pub fn connect(&self) -> TcpStream {
-        let stream = TcpStream::connect(self.address).unwrap();
-        stream.set_read_timeout(Some(HANG_TIMEOUT)).unwrap();
-        stream.set_nodelay(true).unwrap();
-        stream
+        connect(self.address)
     }
 
     /// Sends bytes as they are on a new connection, and reads one response.
     pub fn raw(&self, bytes: &[u8]) -> Message {
-        let mut stream = self.connect();
-        stream.write_all(bytes).unwrap();
-        Message::read(&mut BufReader::new(stream)).unwrap_or_default()
+        exchange(self.address, bytes)
     }
 
     /// Sends a request on the platform's path, and reads the response.
@@ -126,6 +133,21 @@
     }
 }
 
+/// A client's connection to a router.
+fn connect(router: SocketAddr) -> TcpStream {
+    let stream = TcpStream::connect(router).unwrap();
+    stream.set_read_timeout(Some(HANG_TIMEOUT)).unwrap();
+    stream.set_nodelay(true).unwrap();
+    stream
+}
+
+/// Sends bytes as they are to a router on a new connection, and reads one response; an empty one if none comes.
+pub fn exchange(router: SocketAddr, bytes: &[u8]) -> Message {
+    let mut stream = connect(router);
+    stream.write_all(bytes).unwrap();
+    Message::read(&mut BufReader::new(stream)).unwrap_or_default()
+}
+
 /// Reads a log in a thread of its own, line by line while nobody holds the lock.
 fn read_log(log: ChildStderr, log_reading: Arc<Mutex<()>>) -> mpsc::Receiver<String> {
     let (sender, lines) = mpsc::channel();
--- a/tests/support/server.rs
+++ b/tests/support/server.rs
@@ -112,7 +112,7 @@
     /// The next request that is submitted to the driver.
     pub async fn next_request(&mut self) -> SubmittedRequest {
         loop {
-            if let DriverInput::RequestReceived { spec, forwarded, responder } =
+            if let DriverInput::RequestReceived { spec, forwarded, responder, .. } =
                 self.driver.recv().await.unwrap()
             {
                 return SubmittedRequest { spec, forwarded, responder };
