Reproduce the incident on real processes: two failing tests of a fleet of 3,200 workers

A router between scripted workers on loopback sockets lists 200 and 3,200 names. For the same requests, and for the same changes of the list, it may take 1.4 times the CPU time and 0.116 s more, which is what the operators allow.

--- a/tests/large_fleet.rs
+++ b/tests/large_fleet.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use std::net::SocketAddr;
+use std::sync::{Mutex, mpsc};
 use std::thread;
 use std::time::{Duration, Instant};
 use support::*;
@@ -17,6 +18,9 @@
 /// Requests of one measurement.
 const REQUESTS: u32 = 100;
 
+/// Changes of the endpoint list of one measurement.
+const UPDATES: usize = 1_000;
+
 /// How much more CPU time a router may take in the largest fleet than in one of the usual size, for the same requests.
 const CPU_RATIO: f64 = 1.4;
 /// What it may take beyond that ratio: 0.02 s, and 0.03 s for each thousand workers.
@@ -41,6 +45,23 @@
     }
 }
 
+/// A discovery agent that answers a watch with lines of the test's.
+fn discovery_agent() -> (Peer, mpsc::Sender<String>) {
+    let (lines, watched) = mpsc::channel::<String>();
+    let watched = Mutex::new(watched);
+    let agent = Peer::start(move |message, conn| {
+        if !message.line.contains("watch=1") {
+            return true;
+        }
+        conn.begin_stream();
+        while let Ok(line) = watched.lock().unwrap().recv() {
+            conn.chunk(&line);
+        }
+        false
+    });
+    (agent, lines)
+}
+
 /// Sends requests at an even rate, none of them waiting for another, and returns their answers.
 fn send_at_rate(router: SocketAddr, requests: u32, per_second: u32) -> Vec<(Message, Duration)> {
     let send = move |number: u32| {
@@ -72,8 +93,42 @@
 /// Guards against requests that get no final answer, and KV caches that are held too long, since each decision of a
 /// large fleet took so much CPU time that the router fell behind.
 #[test]
-fn requests_of_a_large_fleet_cost_hardly_more_than_those_of_a_usual_one() {
+fn a_large_fleet_uses_up_the_cpu_time_of_a_router() {
     let usual = cpu_time_of_requests(USUAL_WORKERS);
     let large = cpu_time_of_requests(MANY_WORKERS);
     assert!(large <= usual.mul_f64(CPU_RATIO) + CPU_ALLOWANCE, "{usual:?} and {large:?}");
 }
+
+/// The CPU time that a router of this many workers takes for [`UPDATES`] changes of one worker each.
+fn cpu_time_of_updates(workers: usize) -> Duration {
+    let fleet = Workers::start();
+    let (agent, lines) = discovery_agent();
+    let discovery = format!("discovery = \"{}\"\n", agent.address);
+    let router = RouterProcess::start(&fleet.operator_file(workers, &discovery));
+    let change = |sequence: usize, host: &str, health: &str| {
+        let host =
+            format!(r#"{{"host":"{host}","class":"answer","site":"here","block":9,"health":"{health}"}}"#);
+        lines.send(format!("{{\"seq\":{sequence},\"whole\":false,\"hosts\":[{host}]}}\n")).unwrap();
+    };
+    change(2, "answer-0", "draining");
+    router.wait_for("answer-0 (answer, here, cell 9) is Draining");
+    let before = router.cpu_time();
+    for number in 0..UPDATES {
+        let health = ["draining", "ready"][number / 10 % 2];
+        change(3 + number, &format!("answer-{}", number % 10), health);
+    }
+    change(3 + UPDATES, "answer-0", "gone");
+    router.wait_for("answer-0 (answer, here, cell 9) is Gone");
+    let used = router.cpu_time() - before;
+    println!("{workers} workers: {used:?} of CPU time for {UPDATES} updates");
+    used
+}
+
+/// Guards against a release of the workers that uses up a router's CPU time, since each change of the endpoint list
+/// went through the whole list.
+#[test]
+fn each_update_of_a_large_fleet_goes_through_the_whole_list() {
+    let usual = cpu_time_of_updates(USUAL_WORKERS);
+    let large = cpu_time_of_updates(MANY_WORKERS);
+    assert!(large <= usual.mul_f64(CPU_RATIO) + CPU_ALLOWANCE, "{usual:?} and {large:?}");
+}
--- a/tests/support/router_process.rs
+++ b/tests/support/router_process.rs
@@ -86,6 +86,11 @@
         assert!(Command::new("kill").args([name, &pid]).status().unwrap().success());
     }
 
+    /// The id of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// The CPU time that its threads have used so far.
     pub fn cpu_time(&self) -> Duration {
         let threads = std::fs::read_dir(format!("/proc/{}/task", self.child.id())).unwrap();
