Keep what decisions need of the whole fleet, in place of collecting it for each worker

Callers saw requests without a complete answer, and KV caches held too long, in a fleet of thousands of workers. Each decision collected and sorted the slowness of all workers of a role for each of its candidates, searched all attempts in flight for each of them, and each change of the list went through the whole list: the square of the fleet for a decision, the fleet for a change. The one thread of the router fell behind, and with it streams, releases and lists. 84% of the samples of a profile were in relative_slowness and its sort.

The membership now keeps the median, the workers in service, the capacity of cells and zones, and the attempts in flight at each worker, and changes them with one worker. Workers that this router has not dealt with lately are at rest: they lie side by side, and a decision does not look at what was learned of them. The prefix table knows what each worker holds.

--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -121,6 +121,8 @@
             PlannedStage::Prefill { uncached_tokens } => uncached_tokens,
             PlannedStage::Decode => 0.0,
         };
+        let worker = context.membership.get(&route.worker);
+        let estimator = LoadEstimator::new(context);
         Feasibility {
             context,
             request,
@@ -128,8 +130,8 @@
             objective: context.first_token_objective(request) as f64,
             prompt_tokens: request.spec.prompt_tokens as f64,
             uncached_tokens,
-            queued_tokens: LoadEstimator::new(context).queued_tokens(&route.worker, 0.0),
-            relative_slowness: context.relative_slowness(&route.worker),
+            queued_tokens: worker.map_or(0.0, |worker| estimator.queued_tokens(worker, 0.0)),
+            relative_slowness: worker.map_or(1.0, |worker| context.relative_slowness(worker)),
         }
     }
 
--- a/src/policy/attempt_plan.rs
+++ b/src/policy/attempt_plan.rs
@@ -39,7 +39,7 @@
         if !is_allowed(context, request, worker) {
             return None;
         }
-        let estimate = AttemptEstimate::new(context, request, worker_id, worker, planned);
+        let estimate = AttemptEstimate::new(context, request, worker, planned);
         let due = estimate.time_until_due();
         let class = context.class(request);
         // Once such a decode attempt may have run, no retry is possible, or only inside its deduplication
@@ -100,8 +100,7 @@
     fn new(
         context: DecisionContext<'a>,
         request: &'a Request,
-        worker_id: &WorkerId,
-        worker: &Worker,
+        worker: &'a Worker,
         planned: PlannedStage,
     ) -> Self {
         let latency = context.latency;
@@ -110,13 +109,13 @@
         let distance = holder.map_or(Distance::Remote, |holder| holder.distance_to(worker));
         let (uncached_tokens, tokens, work, time_per_token) = match planned {
             PlannedStage::Prefill { uncached_tokens } => {
-                let queued_tokens = LoadEstimator::new(context).queued_tokens(worker_id, 0.0);
+                let queued_tokens = LoadEstimator::new(context).queued_tokens(worker, 0.0);
                 let in_progress = latency.uncached_tokens().value_or(prompt_tokens);
                 let work = queued_tokens + uncached_tokens + in_progress;
                 (uncached_tokens, uncached_tokens, work, latency.prefill_time_per_token())
             }
             PlannedStage::Decode => {
-                let queued = context.requests.in_flight_at(worker_id).filter(|a| a.started_at.is_none());
+                let queued = context.in_flight_at(worker).filter(|a| a.started_at.is_none());
                 let queued_tokens = queued.map(|attempt| attempt.tokens).sum::<f64>();
                 let work = queued_tokens + prompt_tokens + latency.prompt_tokens().value_or(0.0);
                 let tokens = prompt_tokens + request.expected_output_tokens(context.class(request));
@@ -132,7 +131,7 @@
             work,
             uncached_tokens,
             time_per_token: time_per_token.value_or(0.0),
-            relative_slowness: context.relative_slowness(worker_id),
+            relative_slowness: context.relative_slowness(worker),
         }
     }
 
--- a/src/policy/context.rs
+++ b/src/policy/context.rs
@@ -4,12 +4,14 @@
 use super::latency_model::{LatencyModel, TimeoutBackoff};
 use super::membership::Membership;
 use super::prefix_table::PrefixTable;
-use super::request::{Request, Requests};
+use super::request::{Request, Requests, TrackedAttempt};
+use super::slow_start_bucket::SlowStartBucket;
 use super::tenant_quotas::QuotaStatus;
-use crate::interface::{Class, Micros, Settings, WorkerId};
+use super::worker::Worker;
+use crate::interface::{Class, Micros, Settings};
 
 /// A worker counts as slow from this multiple of its peers' median on: ordinary differences are noise.
-const SIGNIFICANT_SLOWNESS: f64 = 1.5;
+pub(super) const SIGNIFICANT_SLOWNESS: f64 = 1.5;
 
 /// References to all that a decision depends on, at one moment. Decisions change nothing themselves.
 #[derive(Clone, Copy)]
@@ -59,14 +61,21 @@
 
     /// How much longer a worker takes than the median worker of its role: 1 for an ordinary one, and at least
     /// what its slow start makes it.
-    pub fn relative_slowness(&self, id: &WorkerId) -> f64 {
-        let Some(worker) = self.membership.get(id) else { return 1.0 };
-        let peers = self.membership.iter().filter(|(_, peer)| peer.role == worker.role);
-        let mut slowness: Vec<f64> = peers.map(|(_, peer)| peer.slowness()).collect();
-        slowness.sort_by(f64::total_cmp);
-        let median = slowness[slowness.len() / 2];
+    pub fn relative_slowness(&self, worker: &Worker) -> f64 {
+        let median = self.membership.median_slowness(worker.role);
         let relative = worker.slowness() / median.max(0.1);
         let relative = if relative < SIGNIFICANT_SLOWNESS { 1.0 } else { relative };
-        relative.max(1.0 / worker.slow_start.warm_fraction(self.settings, self.now))
+        let warm_fraction = worker.activity().map_or_else(
+            || SlowStartBucket::default().warm_fraction(self.settings, self.now),
+            |activity| activity.slow_start.warm_fraction(self.settings, self.now),
+        );
+        relative.max(1.0 / warm_fraction)
+    }
+
+    /// The attempts in flight at a worker.
+    pub fn in_flight_at(&self, worker: &'a Worker) -> impl Iterator<Item = &'a TrackedAttempt> + use<'a> {
+        let requests = self.requests;
+        let keys = worker.activity().into_iter().flat_map(|activity| &activity.in_flight);
+        keys.filter_map(|key| requests.in_flight_attempt(*key))
     }
 }
--- a/src/policy/decode_choice.rs
+++ b/src/policy/decode_choice.rs
@@ -2,7 +2,7 @@
 //! nearly as much.
 
 use super::context::DecisionContext;
-use super::eligibility::{EligibleWorker, eligible_workers};
+use super::eligibility::eligible_workers;
 use super::load_estimator::LoadEstimator;
 use super::request::Request;
 use super::worker::{Distance, Worker};
@@ -23,7 +23,6 @@
 
 /// A decode worker as one decision sees it.
 struct DecodeCandidate<'a> {
-    id: &'a WorkerId,
     worker: &'a Worker,
     projected_memory: f64,
     /// Its place among equals: by chance, or all routers would send to the same one.
@@ -44,15 +43,15 @@
         let id = request.spec.request;
         let mut eligible = eligible_workers(context, Role::Decode, request);
         eligible.extend(eligible_workers(context, Role::Unified, request));
-        let is_new = |target: &EligibleWorker| !request.was_decoded_at(target.id);
+        let is_new = |worker: &&Worker| !request.was_decoded_at(&worker.id);
         if eligible.iter().any(is_new) {
             eligible.retain(is_new);
         }
-        let candidate = |target: EligibleWorker<'a>| DecodeCandidate {
-            id: target.id,
-            worker: target.worker,
-            projected_memory: LoadEstimator::new(context).projected_memory(target.id, target.worker),
-            rank: xxh3_64_with_seed(target.id.0.as_bytes(), id.0 ^ context.seed),
+        let estimator = LoadEstimator::new(context);
+        let candidate = |worker: &'a Worker| DecodeCandidate {
+            worker,
+            projected_memory: estimator.projected_memory(worker),
+            rank: xxh3_64_with_seed(worker.id.0.as_bytes(), id.0 ^ context.seed),
         };
         DecodeChooser { context, request: id, candidates: eligible.into_iter().map(candidate).collect() }
     }
@@ -61,15 +60,15 @@
     pub fn choose(&self, cache_holder: Option<&WorkerId>) -> Option<WorkerId> {
         let best = self.emptiest(|_| true)?;
         let holder = cache_holder.and_then(|id| self.context.membership.get(id));
-        let Some(holder) = holder else { return Some(best.id.clone()) };
+        let Some(holder) = holder else { return Some(best.worker.id.clone()) };
         let chosen = self.nearest_with_capacity(holder, best).unwrap_or_else(|| {
             // Away from the cache, places with capacity for KV caches from elsewhere are preferred.
-            let with_capacity = self.emptiest(has_capacity_for_others);
+            let with_capacity = self.emptiest(|worker| self.has_capacity_for_others(worker));
             with_capacity
                 .filter(|c| c.projected_memory <= best.projected_memory + SIGNIFICANTLY_FULLER)
                 .unwrap_or(best)
         });
-        Some(chosen.id.clone())
+        Some(chosen.worker.id.clone())
     }
 
     /// The candidate with most memory to spare among those that `is_included` names.
@@ -90,14 +89,15 @@
         let best_distance = holder.distance_to(best.worker);
         let draw = self.locality_draw();
         let near_timeout_factor = self.near_timeout_factor();
-        let in_cell = self.emptiest(|worker| worker.cell == holder.cell);
-        let is_in_zone = |worker: &Worker| worker.zone == holder.zone;
+        let in_cell = self.emptiest(|worker| worker.location.cell == holder.location.cell);
+        let is_in_zone = |worker: &Worker| worker.location.is_same_zone(&holder.location);
         let in_zone = self
-            .emptiest(|worker| is_in_zone(worker) && has_capacity_for_others(worker))
+            .emptiest(|worker| is_in_zone(worker) && self.has_capacity_for_others(worker))
             .or_else(|| self.emptiest(is_in_zone));
+        let locality_share = self.context.membership.locality_share(holder);
         let places = [
-            (Distance::SameCell, in_cell, holder.locality_share.cell),
-            (Distance::SameZone, in_zone, holder.locality_share.zone),
+            (Distance::SameCell, in_cell, locality_share.cell),
+            (Distance::SameZone, in_zone, locality_share.zone),
         ];
         places.into_iter().find_map(|(distance, candidate, locality_share)| {
             let allowance = SIGNIFICANTLY_FULLER
@@ -172,9 +172,9 @@
         };
         1.0 / (1.0 + excess_timeouts)
     }
-}
 
-/// Whether a worker's cell has a larger share of the decode capacity than of the prefill capacity.
-fn has_capacity_for_others(worker: &Worker) -> bool {
-    worker.locality_share.cell > 1.0
+    /// Whether a worker's cell has a larger share of the decode capacity than of the prefill capacity.
+    fn has_capacity_for_others(&self, worker: &Worker) -> bool {
+        self.context.membership.locality_share(worker).cell > 1.0
+    }
 }
--- a/src/policy/eligibility.rs
+++ b/src/policy/eligibility.rs
@@ -3,72 +3,74 @@
 use super::context::DecisionContext;
 use super::request::{Request, TrackedAttempt};
 use super::retry;
-use super::worker::Worker;
-use crate::interface::{Role, WorkerId};
+use super::worker::{Worker, WorkerActivity};
+use crate::interface::Role;
 
-/// A worker that may be sent a request.
-#[derive(Clone, Copy)]
-pub(super) struct EligibleWorker<'a> {
-    /// Its name.
-    pub id: &'a WorkerId,
-    /// What is known of it.
-    pub worker: &'a Worker,
+/// A worker that slow start and the rules of retries leave to a request.
+struct Candidate<'a> {
+    worker: &'a Worker,
+    is_healthy: bool,
+    /// Whether it has not just rejected such a request.
+    accepts: bool,
 }
 
 /// The workers of a role that may be sent this request now: the healthy ones, unless most of the role looks
-/// unhealthy.
+/// unhealthy, and those that have not just rejected such a request, unless all have.
 pub(super) fn eligible_workers<'a>(
     context: DecisionContext<'a>,
     role: Role,
     request: &Request,
-) -> Vec<EligibleWorker<'a>> {
-    let available = available_workers(context, role, request);
-    let healthy: Vec<EligibleWorker> =
-        available.iter().filter(|candidate| is_healthy(context, candidate)).copied().collect();
-    let reachable = context.membership.ready(role).filter(|(_, w)| !w.outlier.is_unreachable()).count();
-    if healthy.len() * 2 >= reachable && !healthy.is_empty() {
-        return healthy;
+) -> Vec<&'a Worker> {
+    let mut available = available_workers(context, role, request);
+    if available.iter().any(|candidate| candidate.accepts) {
+        available.retain(|candidate| candidate.accepts);
     }
+    let healthy = available.iter().filter(|candidate| candidate.is_healthy).count();
+    let reachable = context.membership.ready(role).filter(|worker| !is_unreachable(worker)).count();
     // When most of a role looks unhealthy the cause is elsewhere (a link, the load), and all are used again.
     // Those that can't be reached stay out all the same, but for their trials, while any other is left.
     // Decode workers that can prefill stand in for prefill workers of which none can be reached.
+    let uses_healthy_alone = healthy * 2 >= reachable && healthy > 0;
     let has_stand_ins = role == Role::Prefill && context.settings.decode_can_prefill;
     let uses_unreachable = reachable == 0 && !has_stand_ins;
-    let is_used = |candidate: &EligibleWorker| {
-        !candidate.worker.outlier.is_unreachable()
-            || uses_unreachable
-            || healthy.iter().any(|healthy| healthy.id == candidate.id)
+    let is_used = |candidate: &Candidate| {
+        let is_last_resort = !is_unreachable(candidate.worker) || uses_unreachable;
+        candidate.is_healthy || !uses_healthy_alone && is_last_resort
     };
-    available.into_iter().filter(is_used).collect()
+    available.into_iter().filter(is_used).map(|candidate| candidate.worker).collect()
 }
 
-/// The workers of a role that are in service, that slow start and retries allow, and that have not just
-/// rejected such a request, unless all have.
-fn available_workers<'a>(
-    context: DecisionContext<'a>,
-    role: Role,
-    request: &Request,
-) -> Vec<EligibleWorker<'a>> {
+/// The workers of a role that are in service, and that slow start and retries allow.
+fn available_workers<'a>(context: DecisionContext<'a>, role: Role, request: &Request) -> Vec<Candidate<'a>> {
     let DecisionContext { settings, now, .. } = context;
-    let mut available: Vec<EligibleWorker> = (context.membership.ready(role))
-        .filter(|(_, worker)| !request.may_have_run() || retry::may_retry_at(context, request, worker))
-        .filter(|(_, worker)| worker.slow_start.allows_attempt(settings, now))
-        .map(|(id, worker)| EligibleWorker { id, worker })
-        .collect();
+    let is_repetition = request.may_have_run();
     let traffic = request.traffic_key();
-    let accepts = |candidate: &EligibleWorker| !candidate.worker.is_rejecting(&traffic, now);
-    if available.iter().any(accepts) {
-        available.retain(accepts);
-    }
-    available
+    let candidate = |worker: &'a Worker| {
+        if is_repetition && !retry::may_retry_at(context, request, worker) {
+            return None;
+        }
+        let Some(activity) = worker.activity() else {
+            return Some(Candidate { worker, is_healthy: true, accepts: true });
+        };
+        let allows_attempt = activity.slow_start.allows_attempt(settings, now);
+        let accepts = !activity.is_rejecting(&traffic, now);
+        let is_healthy = is_healthy(context, worker, activity);
+        allows_attempt.then_some(Candidate { worker, is_healthy, accepts })
+    };
+    context.membership.ready(role).filter_map(candidate).collect()
+}
+
+/// Whether no connection to a worker can be established.
+fn is_unreachable(worker: &Worker) -> bool {
+    worker.activity().is_some_and(|activity| activity.outlier.is_unreachable())
 }
 
 /// Whether a worker is not ejected, has no trial in flight, and no overdue attempt since its last success: a
 /// worker that hangs or is cut off shows itself by those.
-fn is_healthy(context: DecisionContext<'_>, candidate: &EligibleWorker<'_>) -> bool {
-    let outlier = &candidate.worker.outlier;
+fn is_healthy(context: DecisionContext<'_>, worker: &Worker, activity: &WorkerActivity) -> bool {
+    let outlier = &activity.outlier;
     let is_overdue = |a: &TrackedAttempt| a.due_at <= context.now && outlier.is_silent_since(a.sent_at);
     let makes_suspect =
         |a: &TrackedAttempt| a.started_at.is_none() && (outlier.is_suspect() || is_overdue(a));
-    !outlier.is_ejected(context.now) && !context.requests.in_flight_at(candidate.id).any(makes_suspect)
+    !outlier.is_ejected(context.now) && !context.in_flight_at(worker).any(makes_suspect)
 }
--- a/src/policy/feedback.rs
+++ b/src/policy/feedback.rs
@@ -64,14 +64,14 @@
             Outcome::Completed if attempt.started_at.is_none() => self.record_success(&attempt.worker),
             Outcome::Rejected => {
                 let until = self.now + REJECTION_PERIOD;
-                if let Some(worker) = self.membership.get_mut(&attempt.worker) {
+                if let Some(worker) = self.membership.activity_mut(&attempt.worker) {
                     worker.record_rejection(ended.traffic.clone(), until);
                 }
             }
             Outcome::TimedOut => self.timed_out(ended),
             Outcome::WorkerError | Outcome::ConnectionLost => self.record_failure(attempt),
             Outcome::ConnectFailed => {
-                if let Some(worker) = self.membership.get_mut(&attempt.worker) {
+                if let Some(worker) = self.membership.activity_mut(&attempt.worker) {
                     worker.outlier.record_connect_failure(self.now, attempt.sent_at, self.settings);
                 }
             }
@@ -100,7 +100,7 @@
             Stage::Prefill if self.settings.is_load_unobservable() => {
                 // Without a report, the timeout counts as if the worker had reported so much work.
                 let time_per_token = self.latency.prefill_time_per_token().value_or(f64::MAX).max(1e-9);
-                if let Some(worker) = self.membership.get_mut(&attempt.worker) {
+                if let Some(worker) = self.membership.activity_mut(&attempt.worker) {
                     worker.load.add_presumed_tokens(self.now, *elapsed as f64 / time_per_token);
                 }
             }
@@ -109,21 +109,19 @@
     }
 
     fn record_success(&mut self, worker: &WorkerId) {
-        if let Some(worker) = self.membership.get_mut(worker) {
+        if let Some(worker) = self.membership.activity_mut(worker) {
             worker.record_success(self.now);
         }
     }
 
     fn record_failure(&mut self, attempt: &TrackedAttempt) {
-        if let Some(worker) = self.membership.get_mut(&attempt.worker) {
+        if let Some(worker) = self.membership.activity_mut(&attempt.worker) {
             worker.outlier.record_failure(self.now, attempt.sent_at, self.settings);
         }
     }
 
     fn record_latency(&mut self, worker: &WorkerId, kind: LatencyKind, elapsed: Micros, work: f64) {
         let ratio = self.latency.record(kind, elapsed, work);
-        if let Some(worker) = self.membership.get_mut(worker) {
-            worker.record_slowness(ratio);
-        }
+        self.membership.record_slowness(worker, ratio);
     }
 }
--- a/src/policy/lifecycle.rs
+++ b/src/policy/lifecycle.rs
@@ -133,7 +133,7 @@
     ) -> LoadKnowledge {
         let reports_on_request =
             self.settings.health_checks_allowed && self.settings.load_reporting != LoadReporting::None;
-        let Some(worker) = self.membership.get_mut(worker_id).filter(|_| reports_on_request) else {
+        let Some(worker) = self.membership.activity_mut(worker_id).filter(|_| reports_on_request) else {
             return LoadKnowledge::Sufficient;
         };
         let fresh_since = self.now.saturating_sub(self.settings.connect_timeout);
@@ -157,14 +157,15 @@
         let Some(plan) = AttemptPlan::new(self.context(), id, worker_id, stage) else { return };
         let AttemptPlan { attempt, timeout, deduplication_deadline } = plan;
         let (stage, tokens) = (attempt.stage, attempt.tokens);
-        if let Some(worker) = self.membership.get_mut(worker_id) {
-            worker.slow_start.spend();
-        }
-        if let Some(request) = self.requests.get_mut(id) {
+        if let (Some(request), Some(worker)) =
+            (self.requests.get_mut(id), self.membership.activity_mut(worker_id))
+        {
             if stage == Stage::Prefill {
                 self.prefixes.record(&request.spec, worker_id, self.now);
             }
-            request.begin_attempt(attempt);
+            let index = request.begin_attempt(attempt);
+            worker.in_flight.insert((id, index));
+            worker.slow_start.spend();
         }
         if stage == Stage::Prefill {
             self.gossip(worker_id, tokens, out);
@@ -192,6 +193,9 @@
         let AttemptEnd { request: id, outcome, .. } = end;
         let Some(request) = self.requests.get_mut(id) else { return };
         let Some(attempt) = request.end_attempt(end.attempt, outcome, self.now) else { return };
+        if let Some(worker) = self.membership.activity_mut(&attempt.worker) {
+            worker.in_flight.remove(&(id, end.attempt));
+        }
         let is_over = end.request_finished || matches!(request.phase(), RequestPhase::Answered);
         if is_over && outcome != Outcome::Completed {
             // Whatever the attempt left behind is released, also by a cancelled or a late prefill.
--- a/src/policy/load_estimator.rs
+++ b/src/policy/load_estimator.rs
@@ -4,7 +4,7 @@
 use super::load_view::ReceivedReport;
 use super::statistics::decay;
 use super::worker::Worker;
-use crate::interface::{LoadReport, Stage, WorkerId};
+use crate::interface::{LoadReport, Stage};
 
 /// Tokens that a report says to wait at a worker, and how far it is still trusted, between 0 and 1.
 #[derive(Clone, Copy, Default)]
@@ -30,21 +30,20 @@
     /// Prompt tokens that wait at a worker: this router's, those presumed by gossip and timeouts, and what is
     /// reported. An old report decays to `average`, the average one, never to an empty queue that would draw
     /// prompts away from where they are cached.
-    pub fn queued_tokens(&self, worker: &WorkerId, average: f64) -> f64 {
+    pub fn queued_tokens(&self, worker: &'a Worker, average: f64) -> f64 {
         let now = self.context.now;
-        let own: f64 = (self.context.requests.in_flight_at(worker))
+        let own: f64 = (self.context.in_flight_at(worker))
             .filter(|attempt| attempt.stage == Stage::Prefill)
             .map(|attempt| attempt.tokens)
             .sum();
         let ReportedQueue { tokens, trust } = self.reported_queue(worker);
-        let known = self.context.membership.get(worker);
-        let presumed = known.map_or(0.0, |worker| worker.load.presumed_tokens(now));
+        let presumed = worker.activity().map_or(0.0, |activity| activity.load.presumed_tokens(now));
         own + presumed + trust * tokens + (1.0 - trust) * average
     }
 
     /// The queue that a worker has reported. Cached tokens are reported to wait, too, and are taken off here.
-    pub fn reported_queue(&self, worker: &WorkerId) -> ReportedQueue {
-        let report = self.context.membership.get(worker).and_then(|worker| worker.load.latest_report());
+    pub fn reported_queue(&self, worker: &Worker) -> ReportedQueue {
+        let report = worker.activity().and_then(|activity| activity.load.latest_report());
         let Some(received) = report else { return ReportedQueue::default() };
         let Some(tokens) = received.report.queued_tokens else { return ReportedQueue::default() };
         let latency = self.context.latency;
@@ -56,11 +55,12 @@
 
     /// The projected share of a worker's memory in use, weighted by its slowness. The other routers are taken
     /// to use as much as this one, less so the fresher a report there is.
-    pub fn projected_memory(&self, id: &WorkerId, worker: &Worker) -> f64 {
-        let in_flight = || self.context.requests.in_flight_at(id);
+    pub fn projected_memory(&self, worker: &'a Worker) -> f64 {
+        let in_flight = || self.context.in_flight_at(worker);
         let own = in_flight().map(|attempt| attempt.tokens).sum::<f64>();
         let guess = own * f64::from(self.context.settings.replica_count);
-        let projected = match worker.load.latest_report() {
+        let report = worker.activity().and_then(|activity| activity.load.latest_report());
+        let projected = match report {
             Some(ReceivedReport {
                 received_at,
                 report: LoadReport { memory_utilization: Some(utilization), .. },
@@ -73,6 +73,6 @@
             }
             _ => guess,
         };
-        projected / worker.memory_tokens * self.context.relative_slowness(id)
+        projected / worker.memory_tokens * self.context.relative_slowness(worker)
     }
 }
--- a/src/policy/load_view.rs
+++ b/src/policy/load_view.rs
@@ -3,6 +3,9 @@
 use super::statistics::{DecayingSum, LOAD_HALF_LIFE};
 use crate::interface::{LoadReport, Micros};
 
+/// So few presumed tokens count as none.
+const NEGLIGIBLE_TOKENS: f64 = 1e-9;
+
 /// A load report and when it came.
 #[derive(Clone, Copy)]
 pub(super) struct ReceivedReport {
@@ -78,6 +81,11 @@
         self.presumed_tokens.value_at(now)
     }
 
+    /// Whether nothing is known of the load, or no more than would make no difference.
+    pub fn is_unknown(&self, now: Micros) -> bool {
+        self.report.is_none() && self.presumed_tokens.value_at(now) < NEGLIGIBLE_TOKENS
+    }
+
     /// The reported share of its memory in use.
     pub fn memory_utilization(&self) -> Option<f64> {
         self.report.and_then(|received| received.report.memory_utilization)
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -11,7 +11,7 @@
 //! | May it be sent again? | `retry` |
 //! | Why and how does a request end unanswered by a worker? | `final_answer`; while queued also `admission` |
 //! | Who owns requests and their phases? | `request` |
-//! | Who owns the fleet? | `membership`, `worker`, `discovery_watch` |
+//! | Who owns the fleet? | `membership`, `places`, `worker`, `discovery_watch` |
 //! | Who owns the health and load of a worker? | `outlier`, `load_view`, `slow_start`, `slow_start_bucket` |
 //! | How much is waiting at a worker? | `load_estimator` |
 //! | Who owns what was learned? | `latency_model`, `prefix_table`, `decode_timeouts` |
@@ -39,6 +39,7 @@
 mod load_view;
 mod membership;
 mod outlier;
+mod places;
 mod prefill_choice;
 mod prefix_table;
 mod request;
@@ -64,6 +65,7 @@
 use slow_start::SlowStart;
 use sweep::SweepTimer;
 use tenant_quotas::TenantQuotas;
+use worker::Worker;
 
 /// A share of a request's latency objective with two uses. In `attempt_plan` it is the least timeout of an
 /// attempt, if the client's deadline leaves as much: the objective then holds another attempt. In `admission`
@@ -173,6 +175,8 @@
             out.push(Action::WatchEndpoints);
         }
         self.prefixes.expire(self.now);
+        let prefixes = &self.prefixes;
+        self.membership.rest(&self.settings, self.now, |id| prefixes.has_entries(id));
         self.advance_all(AdvanceScope::Unanswered, out);
     }
 
@@ -187,16 +191,17 @@
             self.watch.record_success();
         }
         let requests = &self.requests;
-        let has_attempt_in_flight = |id: &WorkerId| requests.in_flight_at(id).next().is_some();
+        let has_attempt_in_flight = |worker: &Worker| {
+            let mut keys = worker.history().in_flight.iter();
+            keys.any(|key| requests.in_flight_attempt(*key).is_some())
+        };
         let new_processes =
             self.membership.apply_update(kind, endpoints, &self.settings, self.now, has_attempt_in_flight);
-        for worker in &new_processes {
-            self.prefixes.forget_worker(worker);
-        }
+        self.prefixes.forget_workers(&new_processes);
     }
 
     fn record_load_report(&mut self, worker: &WorkerId, report: Option<LoadReport>) {
-        if let (Some(worker), Some(report)) = (self.membership.get_mut(worker), report) {
+        if let (Some(worker), Some(report)) = (self.membership.activity_mut(worker), report) {
             worker.load.record_report(self.now, report);
         }
     }
@@ -210,8 +215,10 @@
 
     fn apply_gossip(&mut self, payload: &[u8]) {
         let Some(change) = QueueChange::decode(payload) else { return };
-        let mut workers = self.membership.iter_mut();
-        if let Some((_, worker)) = workers.find(|(id, _)| worker_digest(id) == change.worker_digest) {
+        let is_named = |worker: &&Worker| worker_digest(&worker.id) == change.worker_digest;
+        let named = self.membership.iter().find(is_named).map(|worker| worker.id.clone());
+        let Some(id) = named else { return };
+        if let Some(worker) = self.membership.activity_mut(&id) {
             worker.load.add_presumed_tokens(self.now, change.tokens);
         }
     }
--- a/src/policy/prefill_choice.rs
+++ b/src/policy/prefill_choice.rs
@@ -4,9 +4,9 @@
 //! prompt and the worker is not overloaded. Else it goes to the worker where it costs least
 //! (exploration): by the queue, by what it would evict, and by the tokens that have to be processed.
 
-use super::context::DecisionContext;
-use super::eligibility::EligibleWorker;
+use super::context::{DecisionContext, SIGNIFICANT_SLOWNESS};
 use super::load_estimator::LoadEstimator;
+use super::worker::Worker;
 use crate::hashing::unit_interval;
 use crate::interface::{RequestId, RequestSpec, Role, Stage, WorkerId};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
@@ -20,7 +20,7 @@
 
 /// A prefill worker as one decision sees it.
 struct PrefillCandidate<'a> {
-    target: EligibleWorker<'a>,
+    worker: &'a Worker,
     relative_slowness: f64,
     /// Tokens that wait there, weighted by its slowness.
     load: f64,
@@ -32,7 +32,47 @@
 
 impl PrefillCandidate<'_> {
     fn choice(&self) -> PrefillChoice {
-        PrefillChoice { worker: self.target.id.clone(), uncached_tokens: self.uncached_tokens }
+        PrefillChoice { worker: self.worker.id.clone(), uncached_tokens: self.uncached_tokens }
+    }
+}
+
+/// The workers among which a decision is made.
+///
+/// Workers at rest that are not slow differ by their rank alone, so the first of them stands for all.
+#[derive(Default)]
+struct Candidates<'a> {
+    distinct: Vec<PrefillCandidate<'a>>,
+    /// Where in `distinct` that one is.
+    first_at_rest: Option<usize>,
+    count: usize,
+    total_load: f64,
+}
+
+impl<'a> Candidates<'a> {
+    fn add(&mut self, candidate: PrefillCandidate<'a>, is_home: bool) {
+        self.count += 1;
+        self.total_load += candidate.load;
+        let is_slow = candidate.relative_slowness >= SIGNIFICANT_SLOWNESS;
+        if is_home || is_slow || candidate.worker.activity().is_some() {
+            self.distinct.push(candidate);
+            return;
+        }
+        match self.first_at_rest.map(|index| &mut self.distinct[index]) {
+            Some(first) if candidate.rank > first.rank => *first = candidate,
+            Some(_) => {}
+            None => {
+                self.first_at_rest = Some(self.distinct.len());
+                self.distinct.push(candidate);
+            }
+        }
+    }
+
+    fn iter(&self) -> impl Iterator<Item = &PrefillCandidate<'a>> {
+        self.distinct.iter()
+    }
+
+    fn mean_load(&self) -> f64 {
+        self.total_load / self.count as f64
     }
 }
 
@@ -48,18 +88,14 @@
 pub(super) struct PrefillChooser<'a> {
     context: DecisionContext<'a>,
     spec: &'a RequestSpec,
-    eligible: &'a [EligibleWorker<'a>],
+    eligible: &'a [&'a Worker],
     /// What all routers hash alike for this prompt.
     affinity_key: u64,
 }
 
 impl<'a> PrefillChooser<'a> {
     /// A chooser among the eligible workers.
-    pub fn new(
-        context: DecisionContext<'a>,
-        spec: &'a RequestSpec,
-        eligible: &'a [EligibleWorker<'a>],
-    ) -> Self {
+    pub fn new(context: DecisionContext<'a>, spec: &'a RequestSpec, eligible: &'a [&'a Worker]) -> Self {
         let affinity_key = affinity_key(spec, context.seed);
         PrefillChooser { context, spec, eligible, affinity_key }
     }
@@ -79,32 +115,37 @@
         self.spec.prompt_tokens as f64
     }
 
-    fn candidates(&self, home: &WorkerId) -> Vec<PrefillCandidate<'a>> {
+    fn candidates(&self, home: &Worker) -> Candidates<'a> {
         let average_queue = self.average_reported_queue();
         // Other routers send the same prefix to its home, too: it is presumed to be cached there.
         let presumed_at_home = (self.spec.prefix_tokens as f64).min(self.prompt_tokens());
-        let candidate = |target: &EligibleWorker<'a>| {
-            let id = target.id;
-            let relative_slowness = self.context.relative_slowness(id);
-            let presumed = if id == home { presumed_at_home } else { 0.0 };
-            let cached = self.context.prefixes.cached_tokens(self.spec, id, self.context.now).max(presumed);
-            PrefillCandidate {
-                target: *target,
+        let cached_prompt = self.context.prefixes.cached_prompt(self.spec, self.context.now);
+        let estimator = LoadEstimator::new(self.context);
+        let mut candidates = Candidates::default();
+        for worker in self.eligible {
+            let relative_slowness = self.context.relative_slowness(worker);
+            let is_home = std::ptr::eq(*worker, home);
+            let presumed = if is_home { presumed_at_home } else { 0.0 };
+            // A worker that holds anything is not at rest.
+            let known = worker.activity().map_or(0.0, |_| cached_prompt.tokens_at(&worker.id));
+            let candidate = PrefillCandidate {
+                worker,
                 relative_slowness,
-                load: LoadEstimator::new(self.context).queued_tokens(id, average_queue) * relative_slowness,
-                uncached_tokens: self.prompt_tokens() - cached,
-                rank: xxh3_64_with_seed(id.0.as_bytes(), self.affinity_key),
-            }
-        };
-        self.eligible.iter().map(candidate).collect()
+                load: estimator.queued_tokens(worker, average_queue) * relative_slowness,
+                uncached_tokens: self.prompt_tokens() - known.max(presumed),
+                rank: xxh3_64_with_seed(worker.id.0.as_bytes(), self.affinity_key),
+            };
+            candidates.add(candidate, is_home);
+        }
+        candidates
     }
 
     /// The queue that the eligible workers report on average, weighted by the trust in each report.
     fn average_reported_queue(&self) -> f64 {
         let mut tokens = 0.0;
         let mut trust = 1e-9;
-        for target in self.eligible {
-            let reported = LoadEstimator::new(self.context).reported_queue(target.id);
+        for worker in self.eligible {
+            let reported = LoadEstimator::new(self.context).reported_queue(worker);
             tokens += reported.tokens * reported.trust;
             trust += reported.trust;
         }
@@ -116,7 +157,7 @@
     /// the permit lapses.
     fn warming_up<'c>(
         &self,
-        candidates: &'c [PrefillCandidate<'a>],
+        candidates: &'c Candidates<'a>,
         time_budget: f64,
     ) -> Option<&'c PrefillCandidate<'a>> {
         let is_cached_nowhere = candidates.iter().all(|c| c.uncached_tokens == self.prompt_tokens());
@@ -127,9 +168,10 @@
         let is_in_time =
             |c: &PrefillCandidate| time_per_token * c.uncached_tokens * c.relative_slowness <= time_budget;
         let (settings, now) = (self.context.settings, self.context.now);
-        let warming_up = candidates
-            .iter()
-            .filter(|c| c.target.worker.slow_start.is_active(settings, now) && is_in_time(c));
+        let is_warming_up = |worker: &Worker| {
+            worker.activity().is_some_and(|activity| activity.slow_start.is_active(settings, now))
+        };
+        let warming_up = candidates.iter().filter(|c| is_warming_up(c.worker) && is_in_time(c));
         warming_up.min_by_key(|c| c.rank)
     }
 
@@ -137,11 +179,11 @@
     /// mean.
     fn exploited<'c>(
         &self,
-        candidates: &'c [PrefillCandidate<'a>],
-        home: &WorkerId,
+        candidates: &'c Candidates<'a>,
+        home: &Worker,
     ) -> Option<&'c PrefillCandidate<'a>> {
         let prompt_tokens = self.prompt_tokens();
-        let is_home = |c: &PrefillCandidate| c.target.id == home;
+        let is_home = |c: &PrefillCandidate| std::ptr::eq(c.worker, home);
         let holders = candidates.iter().filter(|c| c.uncached_tokens < prompt_tokens || is_home(c));
         let holder = holders.max_by(|a, b| {
             (b.uncached_tokens.total_cmp(&a.uncached_tokens))
@@ -151,8 +193,8 @@
         // On a slow worker the uncached tokens weigh as much as its slowness makes them. The home of a prefix
         // always counts as its holder.
         let saves_enough = prompt_tokens > 2.0 * holder.uncached_tokens * holder.relative_slowness;
-        let mean_load = candidates.iter().map(|c| c.load).sum::<f64>() / candidates.len() as f64;
-        let is_balanced = holder.load <= MAX_LOAD_OVER_MEAN * (mean_load + holder.uncached_tokens);
+        let is_balanced =
+            holder.load <= MAX_LOAD_OVER_MEAN * (candidates.mean_load() + holder.uncached_tokens);
         ((saves_enough || is_home(holder)) && is_balanced).then_some(holder)
     }
 
@@ -161,7 +203,7 @@
     /// Every prefill that waits pays for tokens processed again: under load, moving a prompt away from where
     /// it is cached feeds the very queue that it avoids, until nothing is found cached anywhere. Hence
     /// uncached tokens weigh more with the number of prefills in flight.
-    fn cheapest<'c>(&self, candidates: &'c [PrefillCandidate<'a>]) -> Option<&'c PrefillCandidate<'a>> {
+    fn cheapest<'c>(&self, candidates: &'c Candidates<'a>) -> Option<&'c PrefillCandidate<'a>> {
         let in_flight = self.context.requests.in_flight();
         let prefills = in_flight.filter(|attempt| attempt.stage == Stage::Prefill).count();
         let congestion = 1.0 + prefills as f64 / self.eligible.len() as f64;
@@ -170,16 +212,20 @@
         };
         // Equals are ordered by a hash that all routers share, so that the next request of a session finds
         // its prompt cached.
-        candidates.iter().min_by(|a, b| cost(a).total_cmp(&cost(b)).then(b.rank.cmp(&a.rank)))
+        let costs = candidates.iter().map(|candidate| (candidate, cost(candidate)));
+        let cheapest = costs
+            .min_by(|(a, a_cost), (b, b_cost)| a_cost.total_cmp(b_cost).then_with(|| b.rank.cmp(&a.rank)));
+        cheapest.map(|(candidate, _)| candidate)
     }
 
     /// What processing the uncached tokens would evict: the tokens cached there, weighted by how full the
     /// worker's memory is and by how much of it the prefill needs.
     fn eviction_cost(&self, candidate: &PrefillCandidate) -> f64 {
-        let EligibleWorker { id, worker } = candidate.target;
-        let cached = self.context.prefixes.total_cached_tokens(id);
-        let utilization = worker.load.memory_utilization().unwrap_or(cached / worker.memory_tokens);
-        let needed = (candidate.uncached_tokens / worker.memory_tokens).min(1.0);
+        let PrefillCandidate { worker, uncached_tokens, .. } = *candidate;
+        let Some(activity) = worker.activity() else { return 0.0 };
+        let cached = self.context.prefixes.total_cached_tokens(&worker.id);
+        let utilization = activity.load.memory_utilization().unwrap_or(cached / worker.memory_tokens);
+        let needed = (uncached_tokens / worker.memory_tokens).min(1.0);
         cached * utilization.clamp(0.0, 1.0) * needed
     }
 
@@ -188,25 +234,27 @@
     ///
     /// In a large fleet a prefix has several homes, and a session stays at one of them: guards against
     /// prefixes that outgrow a home.
-    fn rendezvous_home(&self) -> Option<&'a WorkerId> {
+    fn rendezvous_home(&self) -> Option<&'a Worker> {
         let peak_prefill_workers = self.context.membership.peak_ready()[Role::Prefill as usize] as u64;
         let home_count = 1 + peak_prefill_workers / PREFILL_WORKERS_PER_HOME;
         let session = self.spec.session.as_ref();
         let session_hash = session.map_or(0, |session| xxh3_64_with_seed(session.as_bytes(), 0));
         let key = self.affinity_key ^ (session_hash % home_count);
-        let is_local = |target: &EligibleWorker| target.worker.zone == self.context.settings.zone;
-        let total_weight: f64 = self.eligible.iter().map(|target| target.worker.weight).sum();
+        let is_local = |worker: &&Worker| worker.location.is_in_zone(&self.context.settings.zone);
+        let total_weight: f64 = self.eligible.iter().map(|worker| worker.weight).sum();
         let local_weight: f64 =
-            self.eligible.iter().filter(|t| is_local(t)).map(|target| target.worker.weight).sum();
+            self.eligible.iter().filter(|worker| is_local(worker)).map(|worker| worker.weight).sum();
         let zone_count = self.context.membership.zone_count() as f64;
         let local_share = local_weight * zone_count / total_weight.max(1e-9);
         let stays_local = unit_interval(key ^ 1) < local_share;
-        let score = |target: &EligibleWorker| {
-            -target.worker.weight / unit_interval(xxh3_64_with_seed(target.id.0.as_bytes(), key)).ln()
+        let score = |worker: &Worker| {
+            -worker.weight / unit_interval(xxh3_64_with_seed(worker.id.0.as_bytes(), key)).ln()
         };
-        let homes = self.eligible.iter().filter(|target| !stays_local || is_local(target));
-        let home = homes.max_by(|a, b| score(a).total_cmp(&score(b)).then(b.id.cmp(a.id)))?;
-        Some(home.id)
+        let homes = self.eligible.iter().filter(|worker| !stays_local || is_local(worker));
+        let scores = homes.map(|worker| (*worker, score(worker)));
+        let home = scores
+            .max_by(|(a, a_score), (b, b_score)| a_score.total_cmp(b_score).then_with(|| b.id.cmp(&a.id)));
+        home.map(|(worker, _)| worker)
     }
 }
 
--- a/src/policy/request.rs
+++ b/src/policy/request.rs
@@ -59,6 +59,9 @@
     }
 }
 
+/// Names one attempt of one request.
+pub(super) type AttemptKey = (RequestId, AttemptIndex);
+
 /// What the policy knows of one attempt of a request at a worker.
 #[derive(Clone)]
 pub(super) struct TrackedAttempt {
@@ -168,14 +171,17 @@
         }
     }
 
-    /// Records an attempt that has just been sent. A decode attempt keeps the held KV cache.
-    pub fn begin_attempt(&mut self, attempt: TrackedAttempt) {
+    /// Records an attempt that has just been sent, and returns its index. A decode attempt keeps the held KV
+    /// cache.
+    pub fn begin_attempt(&mut self, attempt: TrackedAttempt) -> AttemptIndex {
         let cache = std::mem::replace(&mut self.phase, RequestPhase::Queued).into_cache_hold();
         self.phase = match attempt.stage {
             Stage::Prefill => RequestPhase::Prefilling,
             Stage::Decode => RequestPhase::DecodeRequested { cache },
         };
+        let index = AttemptIndex(self.attempts.len() as u32);
         self.attempts.push(attempt);
+        index
     }
 
     /// Records the start of an attempt's stream: the worker has fetched the KV cache by then. Returns the
@@ -262,9 +268,10 @@
         self.requests.values().flat_map(Request::in_flight)
     }
 
-    /// The attempts in flight at a worker.
-    pub fn in_flight_at(&self, worker: &WorkerId) -> impl Iterator<Item = &TrackedAttempt> {
-        self.in_flight().filter(move |attempt| attempt.worker == *worker)
+    /// An attempt, if it is in flight.
+    pub fn in_flight_attempt(&self, (id, index): AttemptKey) -> Option<&TrackedAttempt> {
+        let attempt = self.requests.get(&id)?.attempts.get(index.0 as usize)?;
+        attempt.outcome.is_none().then_some(attempt)
     }
 
     /// Releases the KV cache that is held for a request, which is queued again.
--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -17,7 +17,7 @@
 
 /// Whether a request that may have run may go to some worker again.
 pub(super) fn may_retry_anywhere(context: DecisionContext<'_>, request: &Request) -> bool {
-    context.membership.iter().any(|(_, worker)| may_retry_at(context, request, worker))
+    context.membership.iter().any(|worker| may_retry_at(context, request, worker))
 }
 
 /// The time before which a request that may have run has to arrive at this worker again; `None`: it may not
@@ -29,8 +29,8 @@
 ) -> Option<Micros> {
     let class = context.class(request);
     let is_same_scope = |earlier: &Worker| match class.idempotency {
-        Idempotency::Keyed(DeduplicationScope::Zone) => earlier.zone == worker.zone,
-        Idempotency::Keyed(DeduplicationScope::Cell) => earlier.cell == worker.cell,
+        Idempotency::Keyed(DeduplicationScope::Zone) => earlier.location.is_same_zone(&worker.location),
+        Idempotency::Keyed(DeduplicationScope::Cell) => earlier.location.cell == worker.location.cell,
         Idempotency::Keyed(DeduplicationScope::All)
         | Idempotency::Idempotent
         | Idempotency::NonIdempotent => true,
--- a/src/policy/slow_start.rs
+++ b/src/policy/slow_start.rs
@@ -7,6 +7,7 @@
 use super::membership::{Membership, ROLE_COUNT};
 use super::slow_start_bucket::BUDGET_PER_REFILL_RATIO;
 use super::statistics::LOAD_HALF_LIFE;
+use super::worker::WorkerActivity;
 use crate::interface::{Micros, Settings};
 
 /// What the warm workers of a role were seen to complete, and their capacity.
@@ -46,7 +47,7 @@
         membership: &mut Membership,
     ) {
         let refilled_at = std::mem::replace(&mut self.refilled_at, now);
-        if !membership.iter().any(|(_, worker)| worker.slow_start.is_active(settings, now)) {
+        if !membership.has_slow_starts(now) {
             return;
         }
         let middle = refilled_at + (now - refilled_at.min(now)) / 2;
@@ -54,16 +55,14 @@
         let peak_ready = membership.peak_ready();
         let replicas = f64::from(settings.replica_count.max(1));
         let least_rate = 1.0 / (settings.overload_window.max(1) as f64 * replicas);
-        for (_, worker) in membership.iter_mut() {
-            if !worker.slow_start.is_active(settings, now) {
-                continue;
-            }
+        for worker in membership.slow_starting_mut(settings, now) {
             let role = worker.role as usize;
             let promised = promised_rate / peak_ready[role].max(1) as f64;
             let warm_rate = warm[role].rate_of(worker.weight).max(promised);
-            let warm_fraction = worker.slow_start.warm_fraction(settings, now);
+            let slow_start = &mut worker.activity_mut().slow_start;
+            let warm_fraction = slow_start.warm_fraction(settings, now);
             let rate = warm_rate * settings.overload_multiple * warm_fraction / BUDGET_PER_REFILL_RATIO;
-            worker.slow_start.refill(rate.max(least_rate), refilled_at, settings, now);
+            slow_start.refill(rate.max(least_rate), refilled_at, settings, now);
         }
     }
 }
@@ -76,10 +75,11 @@
     measured_at: Micros,
 ) -> [WarmThroughput; ROLE_COUNT] {
     let mut warm = [WarmThroughput::default(); ROLE_COUNT];
-    for (_, worker) in membership.iter() {
-        if worker.is_ready() && !worker.slow_start.is_active(settings, now) {
+    for worker in membership.iter() {
+        let is_warming_up = |activity: &WorkerActivity| activity.slow_start.is_active(settings, now);
+        if worker.is_ready() && !worker.activity().is_some_and(is_warming_up) {
             let throughput = &mut warm[worker.role as usize];
-            throughput.completions += worker.completions.value_at(measured_at);
+            throughput.completions += worker.history().completions.value_at(measured_at);
             throughput.weight += worker.weight;
         }
     }
--- a/src/policy/slow_start_bucket.rs
+++ b/src/policy/slow_start_bucket.rs
@@ -48,9 +48,14 @@
         self.started_at
     }
 
+    /// When the worker has warmed up; 0 if it started long ago.
+    pub fn ends_at(&self, settings: &Settings) -> Micros {
+        self.started_at.map_or(0, |start| start.saturating_add(settings.slow_start_duration))
+    }
+
     /// Whether the worker is still warming up.
     pub fn is_active(&self, settings: &Settings, now: Micros) -> bool {
-        self.started_at.is_some_and(|start| now < start.saturating_add(settings.slow_start_duration))
+        now < self.ends_at(settings)
     }
 
     /// The part of its capacity that the worker has at least: it is taken to grow evenly.
--- a/src/policy/statistics.rs
+++ b/src/policy/statistics.rs
@@ -24,7 +24,7 @@
 impl DecayingSum {
     /// What is left of the sum at `now`.
     pub fn value_at(&self, now: Micros) -> f64 {
-        self.value * decay(now, self.updated_at)
+        if self.value == 0.0 { 0.0 } else { self.value * decay(now, self.updated_at) }
     }
 
     /// Adds `amount`, which may be negative.
@@ -58,3 +58,30 @@
         if self.samples > 0.0 { self.value } else { default }
     }
 }
+
+/// The median of values that change one at a time.
+#[derive(Default)]
+pub(super) struct RunningMedian {
+    /// In ascending order.
+    values: Vec<f64>,
+}
+
+impl RunningMedian {
+    /// Adds a value.
+    pub fn insert(&mut self, value: f64) {
+        let index = self.values.partition_point(|other| other.total_cmp(&value).is_lt());
+        self.values.insert(index, value);
+    }
+
+    /// Removes a value that was added.
+    pub fn remove(&mut self, value: f64) {
+        if let Ok(index) = self.values.binary_search_by(|other| other.total_cmp(&value)) {
+            self.values.remove(index);
+        }
+    }
+
+    /// The median, the upper one of two; 1 if there are no values.
+    pub fn median(&self) -> f64 {
+        self.values.get(self.values.len() / 2).copied().unwrap_or(1.0)
+    }
+}
--- a/src/policy/worker.rs
+++ b/src/policy/worker.rs
@@ -2,10 +2,12 @@
 
 use super::load_view::LoadView;
 use super::outlier::OutlierDetector;
+use super::places::Location;
+use super::request::AttemptKey;
 use super::slow_start_bucket::SlowStartBucket;
 use super::statistics::{DecayingSum, MovingAverage, SAMPLE_WEIGHT};
-use crate::interface::{Micros, Role, WorkerStatus};
-use std::collections::BTreeMap;
+use crate::interface::{Micros, Role, Settings, WorkerId, WorkerStatus};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Bounds for one sample of the time taken over the time expected: a single absurd time says little.
 const SLOWNESS_SAMPLE_BOUNDS: (f64, f64) = (0.1, 10.0);
@@ -40,51 +42,89 @@
     pub tenant: Option<String>,
 }
 
-/// The share of the decode capacity that a place holds over its share of the prefill capacity. Above 1 there
-/// is capacity for KV caches from elsewhere.
-#[derive(Clone, Copy, Default)]
-pub(super) struct LocalityShare {
-    /// Of the worker's cell.
-    pub cell: f64,
-    /// Of its zone.
-    pub zone: f64,
+/// What was learned of a worker since its present process was first listed, and what it is busy with.
+#[derive(Default)]
+pub(super) struct WorkerActivity {
+    /// Its budget while it warms up.
+    pub slow_start: SlowStartBucket,
+    /// Its failures.
+    pub outlier: OutlierDetector,
+    /// Its load as reported and gossiped.
+    pub load: LoadView,
+    /// The attempts in flight at it, of which [`Requests`](super::request::Requests) knows more.
+    pub in_flight: BTreeSet<AttemptKey>,
+    /// Requests that it was seen to complete.
+    pub completions: DecayingSum,
+    rejecting_until: BTreeMap<TrafficKey, Micros>,
 }
 
-/// A worker: its entry in the endpoint list, and what was learned since its present process was first listed.
-#[derive(Default)]
+impl WorkerActivity {
+    /// Records an answer that was good, or began well.
+    pub fn record_success(&mut self, now: Micros) {
+        self.outlier.record_success(now);
+        self.completions.add(now, 1.0);
+    }
+
+    /// Records that it rejects requests of this class and tenant; others may still be sent there.
+    pub fn record_rejection(&mut self, traffic: TrafficKey, until: Micros) {
+        self.rejecting_until.insert(traffic, until);
+    }
+
+    /// Whether it has just rejected a request of this class and tenant.
+    pub fn is_rejecting(&self, traffic: &TrafficKey, now: Micros) -> bool {
+        self.rejecting_until.get(traffic).is_some_and(|until| *until > now)
+    }
+
+    /// Whether there is nothing that would set it apart from a worker of which nothing is known, but its
+    /// slowness.
+    fn is_ordinary(&self, settings: &Settings, now: Micros) -> bool {
+        self.in_flight.is_empty()
+            && !self.outlier.is_suspect()
+            && !self.outlier.is_ejected(now)
+            && !self.slow_start.is_active(settings, now)
+            && self.load.is_unknown(now)
+            && self.rejecting_until.values().all(|until| *until <= now)
+    }
+}
+
+/// A worker: its entry in the endpoint list, and what was learned of it.
+///
+/// A decision goes through all workers of a role, and a router in a large fleet has dealt with few of them
+/// lately. The others are *at rest*: they differ by what stands here alone, and their activity is not looked
+/// at.
 pub(super) struct Worker {
+    /// Its name.
+    pub id: WorkerId,
     /// What it does.
     pub role: Role,
-    /// Its zone.
-    pub zone: String,
-    /// Its cell.
-    pub cell: u64,
+    /// Its zone and cell.
+    pub location: Location,
     /// Its capacity relative to other workers, as listed.
     pub weight: f64,
     /// Its KV cache memory, in tokens.
     pub memory_tokens: f64,
     /// Whether it is in service.
     pub status: WorkerStatus,
-    /// Decode share over prefill share of its cell and zone.
-    pub locality_share: LocalityShare,
-    /// Its budget while it warms up.
-    pub slow_start: SlowStartBucket,
-    /// Its failures.
-    pub outlier: OutlierDetector,
-    /// Its load as reported and gossiped.
-    pub load: LoadView,
-    /// Requests that it was seen to complete.
-    pub completions: DecayingSum,
     slowness: MovingAverage,
-    rejecting_until: BTreeMap<TrafficKey, Micros>,
+    is_at_rest: bool,
+    activity: Box<WorkerActivity>,
 }
 
 impl Worker {
     /// A worker process of which nothing is known but its role, its memory and its start.
-    pub fn new(role: Role, memory_tokens: f64, slow_start: SlowStartBucket) -> Self {
-        // The prior outweighs a single odd answer.
-        let slowness = MovingAverage::with_prior(1.0, 1.0 / SAMPLE_WEIGHT);
-        Worker { role, memory_tokens, slow_start, slowness, ..Worker::default() }
+    pub fn new(id: WorkerId, role: Role, memory_tokens: f64, slow_start: SlowStartBucket) -> Self {
+        Worker {
+            id,
+            role,
+            location: Location::default(),
+            weight: 0.0,
+            memory_tokens,
+            status: WorkerStatus::Gone,
+            // The prior outweighs a single odd answer.
+            slowness: MovingAverage::with_prior(1.0, 1.0 / SAMPLE_WEIGHT),
+            is_at_rest: false,
+            activity: Box::new(WorkerActivity { slow_start, ..WorkerActivity::default() }),
+        }
     }
 
     /// Whether it is in service.
@@ -94,21 +134,15 @@
 
     /// How far a KV cache that this worker holds travels to another worker.
     pub fn distance_to(&self, other: &Worker) -> Distance {
-        if self.cell == other.cell {
+        if self.location.cell == other.location.cell {
             Distance::SameCell
-        } else if self.zone == other.zone {
+        } else if self.location.is_same_zone(&other.location) {
             Distance::SameZone
         } else {
             Distance::Remote
         }
     }
 
-    /// Records an answer that was good, or began well.
-    pub fn record_success(&mut self, now: Micros) {
-        self.outlier.record_success(now);
-        self.completions.add(now, 1.0);
-    }
-
     /// Records the time that an attempt took over the time that it takes on average.
     pub fn record_slowness(&mut self, ratio: f64) {
         let (least, most) = SLOWNESS_SAMPLE_BOUNDS;
@@ -120,13 +154,25 @@
         self.slowness.value_or(1.0)
     }
 
-    /// Records that it rejects requests of this class and tenant; others may still be sent there.
-    pub fn record_rejection(&mut self, traffic: TrafficKey, until: Micros) {
-        self.rejecting_until.insert(traffic, until);
+    /// What a decision has to look at; `None` while it is at rest.
+    pub fn activity(&self) -> Option<&WorkerActivity> {
+        (!self.is_at_rest).then_some(&self.activity)
     }
 
-    /// Whether it has just rejected a request of this class and tenant.
-    pub fn is_rejecting(&self, traffic: &TrafficKey, now: Micros) -> bool {
-        self.rejecting_until.get(traffic).is_some_and(|until| *until > now)
+    /// All that was learned of it, also at rest.
+    pub fn history(&self) -> &WorkerActivity {
+        &self.activity
+    }
+
+    /// The same, to be changed. It is not at rest from here on.
+    pub fn activity_mut(&mut self) -> &mut WorkerActivity {
+        self.is_at_rest = false;
+        &mut self.activity
+    }
+
+    /// Lets it rest if there is no reason to look at its activity; whether it rests now.
+    pub fn rest_if_ordinary(&mut self, settings: &Settings, now: Micros) -> bool {
+        self.is_at_rest = self.activity.is_ordinary(settings, now);
+        self.is_at_rest
     }
 }
