--- a/src/policy/membership_tests.rs
+++ b/src/policy/membership_tests.rs
@@ -44,7 +44,7 @@
     }
 }
 
-/// The share of the decode capacity over that of the prefill capacity, among the workers that `is_there` names.
+/// The share of the decode capacity over that of the prefill capacity, where `is_there` says.
 fn collected_share(membership: &Membership, is_there: impl Fn(&Worker) -> bool) -> f64 {
     let capacity = |skipped: Role, is_there: &dyn Fn(&Worker) -> bool| -> f64 {
         let ready = membership.iter().filter(|worker| worker.is_ready() && worker.role != skipped);
