Remember as many withdrawn workers as are listed, not the last 512

Found while related paths were read. After SIGHUP the list of a new agent may be older than what is known; workers known to be draining are then kept draining.

As many are remembered as are listed, by name and by order. The new test failed before: 2,688 of 3,200 workers were ready after the late list, 1,600 would be right.

--- a/src/net/discovery/directory.rs
+++ b/src/net/discovery/directory.rs
@@ -86,7 +86,9 @@
     fn remove_gone(&self) -> Vec<WorkerId> {
         let mut withdrawn = self.withdrawn.borrow_mut();
         let mut gone = Vec::new();
-        self.workers.borrow_mut().retain(|id, worker| {
+        let mut workers = self.workers.borrow_mut();
+        let listed = workers.len();
+        workers.retain(|id, worker| {
             let is_gone = worker.status == WorkerStatus::Gone;
             if is_gone {
                 withdrawn.insert(id, worker.started_at);
@@ -94,6 +96,7 @@
             }
             !is_gone
         });
+        withdrawn.forget_oldest(listed);
         gone
     }
 
@@ -145,3 +148,6 @@
         has(Role::Unified) || (has(Role::Prefill) && has(Role::Decode))
     }
 }
+
+#[cfg(test)]
+mod tests;
