Shed new requests while the thread is behind, and handle them after all else

Callers of a router that was short of CPU time got no answer, or a late one: it took every request in, and handled a new one before the ends of attempts, disconnects and lists that came behind it. Nothing looked at how late the thread was, and the driver went on for as long as its queue had inputs, with streams and connections waiting.

What a rejection costs is a fraction of what a request costs, so the requests in progress keep their time.

--- a/src/runtime/driver/inputs.rs
+++ b/src/runtime/driver/inputs.rs
@@ -9,6 +9,7 @@
 use crate::runtime::counters::Count;
 use crate::runtime::exchange::{ForwardedRequest, Responder, ResponseStream};
 use crate::runtime::handle::{AttemptResult, DriverInput};
+use crate::runtime::lag::LATE;
 use crate::runtime::timers::TimerEntry;
 use std::rc::Rc;
 
@@ -59,6 +60,10 @@
             spec.class,
             spec.prompt_tokens
         );
+        let waited = now.saturating_sub(received_at);
+        if !responder.request().is_open() || waited > LATE || self.lag.is_behind(now) {
+            return self.shed(&forwarded.id, waited, responder);
+        }
         let class = self.settings.classes.iter().find(|class| class.name == spec.class);
         // A request of a class that the settings don't name is never repeated.
         let idempotency = class.map_or(Idempotency::NonIdempotent, |class| class.idempotency);
@@ -70,6 +75,18 @@
         self.notify_policy(Event::RequestReceived(spec));
     }
 
+    /// Rejects a request that nothing was done for: its client has left already, or there is too little CPU time
+    /// even for the requests in progress, and with this one more of them would get no answer in time.
+    fn shed(&mut self, id: &str, waited: Micros, responder: Responder) {
+        log::debug!(
+            "request {id}: shed after {waited} us in the queue, {} are in progress",
+            self.requests.len()
+        );
+        self.counters.requests_shed.increment();
+        let settings = &self.settings;
+        responder.reject(settings.retry_after_allowed.then_some(settings.max_retry_after));
+    }
+
     /// The client has disconnected, or has shut down its sending side and may still read the answer.
     fn client_disconnected(&mut self, request: RequestId) {
         let Some(active) = self.requests.get_mut(request) else { return };
--- a/src/runtime/driver/mod.rs
+++ b/src/runtime/driver/mod.rs
@@ -11,6 +11,7 @@
 use super::clock::Clock;
 use super::counters::Counters;
 use super::handle::DriverInput;
+use super::input_queue::InputQueue;
 use super::lag::{LATE, LagChange, LagMonitor};
 use super::outbound::Outbound;
 use super::request_table::RequestTable;
@@ -25,6 +26,9 @@
 /// Log lines state times in ms.
 const MICROS_PER_MS: Micros = 1000;
 
+/// The driver yields the thread after this long, however many inputs wait.
+const TURN: Micros = 5_000;
+
 /// The driver of one policy.
 pub struct Driver {
     policy: Policy,
@@ -66,7 +70,8 @@
 
     /// Runs until every handle is dropped. Dropping the future drops all requests: those without a final
     /// answer fail.
-    pub async fn run(mut self, mut inputs: mpsc::UnboundedReceiver<DriverInput>) {
+    pub async fn run(mut self, inputs: mpsc::UnboundedReceiver<DriverInput>) {
+        let mut inputs = InputQueue::new(inputs);
         loop {
             let next_due = self.timers.next_due().map(|at| self.clock.instant(at));
             let timer = async {
@@ -85,7 +90,20 @@
                 },
                 () = timer => {}
             }
-            // Also after an input: a queue that is never empty must not starve the timers.
+            self.work_off(&mut inputs);
+            // Streams and connections are served by other tasks of this thread.
+            tokio::task::yield_now().await;
+        }
+    }
+
+    /// Handles the inputs that wait, for one turn of the thread at most.
+    fn work_off(&mut self, inputs: &mut InputQueue) {
+        let turn_end = self.clock.now() + TURN;
+        // After each input: a queue that is never empty must not starve the timers.
+        self.fire_due_timers();
+        while self.clock.now() < turn_end {
+            let Some(input) = inputs.try_recv() else { return };
+            self.handle_input(input);
             self.fire_due_timers();
         }
     }
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -3,7 +3,7 @@
 //!
 //! The runtime knows no wire protocol. Requests come in through a [`DriverHandle`], calls go out through
 //! [`Outbound`], and their results come back as [`DriverInput`]. Everything runs on one thread, in the order
-//! of one queue.
+//! of one queue, in which new requests go last.
 
 mod active_request;
 mod clock;
@@ -12,6 +12,7 @@
 pub mod exchange;
 mod handle;
 mod held_cache;
+mod input_queue;
 mod lag;
 mod outbound;
 mod request_table;
