Let the soak have large fleets, crowds, short deadlines and signals in series

A planned restart comes with SIGHUPs before, and with SIGHUP and further SIGTERMs behind. These follow from the seed alone, so the draws of the deployment and of the faults stay as they were.

--- a/crates/fault-soak/src/deployment.rs
+++ b/crates/fault-soak/src/deployment.rs
@@ -1,5 +1,6 @@
 //! The deployment of a run, drawn from its seed, and the configuration of its routers.
 
+use crate::scenario::Scenario;
 use fleet_emulator::clock::whole_micros;
 use fleet_emulator::record::{DeduplicationScope, Idempotency, Role, RouterIndex, WorkerIndex};
 use fleet_emulator::worker::WorkerSettings;
@@ -19,6 +20,11 @@
 /// The time after which a client gives up on a request.
 const CLIENT_TIMEOUT: Duration = Duration::from_secs(6);
 
+/// A longer deadline of clients counts as this for the time that a router has to shut down.
+const MAX_COUNTED_DEADLINE: Duration = Duration::from_secs(3);
+/// What a router has beyond the longest deadline to shut down.
+const SHUTDOWN_ALLOWANCE: Duration = Duration::from_millis(700);
+
 /// A class of requests.
 #[derive(Clone, Copy, Debug)]
 pub struct Class {
@@ -70,6 +76,8 @@
     pub max_descriptors: usize,
     /// The memory that a router may use, in megabytes.
     pub max_memory_mb: usize,
+    /// What sets the run apart.
+    pub scenario: Scenario,
 }
 
 impl Deployment {
@@ -79,7 +87,7 @@
     pub const RESPONSE_SLACK: Duration = Duration::from_millis(16);
 
     /// Draws a deployment with a number of routers.
-    pub fn draw(random: &mut StdRng, routers: usize) -> Self {
+    pub fn draw(random: &mut StdRng, routers: usize, scenario: Scenario) -> Self {
         Deployment {
             routers,
             prefill_workers: random.random_range(3..=5),
@@ -96,9 +104,15 @@
             cancellation_allowed: random.random_bool(0.8),
             max_descriptors: 512,
             max_memory_mb: 96,
+            scenario,
         }
     }
 
+    /// The time from SIGTERM after which a router is killed at the earliest.
+    pub fn shutdown_timeout(&self) -> Duration {
+        self.scenario.max_deadline.min(MAX_COUNTED_DEADLINE) + SHUTDOWN_ALLOWANCE
+    }
+
     /// The settings of a worker.
     pub fn worker(&self, index: WorkerIndex, role: Role) -> WorkerSettings {
         let cell = index as u64 % CELLS;
--- a/crates/fault-soak/src/faults/clients.rs
+++ b/crates/fault-soak/src/faults/clients.rs
@@ -10,6 +10,10 @@
 
 /// The number of idle connections that are opened at once.
 const IDLE_CONNECTIONS: usize = 300;
+/// A crowd opens so many idle connections at each of its intervals: routers close them after some seconds.
+const CROWD_CONNECTIONS: usize = 100;
+/// The interval at which a crowd connects again.
+const CROWD_INTERVAL: Duration = Duration::from_millis(700);
 
 /// A fault of clients.
 #[derive(Clone, Debug, PartialEq)]
@@ -93,3 +97,11 @@
         tokio::time::sleep(Duration::from_millis(pause)).await;
     }
 }
+
+/// Keeps the descriptors of a router filled with idle connections for as long as there is load.
+pub async fn keep_crowded(world: Arc<World>, router: RouterIndex) {
+    while !world.load.is_finished() {
+        (0..CROWD_CONNECTIONS).for_each(|_| connect_misbehaving(&world, router, ClientMisbehaviour::Silent));
+        tokio::time::sleep(CROWD_INTERVAL).await;
+    }
+}
--- a/crates/fault-soak/src/faults/mod.rs
+++ b/crates/fault-soak/src/faults/mod.rs
@@ -8,7 +8,7 @@
 mod routers;
 mod workers;
 
-pub use clients::ClientFault;
+pub use clients::{ClientFault, keep_crowded};
 pub use discovery::{DiscoveryFault, DiscoveryFaultKind};
 pub use links::{LinkDegradation, LinkFault, LinkFaultKind};
 pub use routers::{RouterFault, RouterFaultKind};
--- a/crates/fault-soak/src/faults/routers.rs
+++ b/crates/fault-soak/src/faults/routers.rs
@@ -2,13 +2,18 @@
 
 use crate::world::World;
 use fault_plan::SystemCallFault;
+use fleet_emulator::clock;
 use fleet_emulator::record::{RouterIndex, RouterSignal};
 use rand::Rng;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// A router that has to terminate is killed after this: the longest client deadline that counts, and 0.7 s.
-const SHUTDOWN_TIMEOUT: Duration = Duration::from_millis(3_700);
+/// The time within which a process that was killed has exited.
+const KILL_TIMEOUT: Duration = Duration::from_secs(4);
+/// The most signals that come one after another before and after SIGTERM.
+const MAX_SIGNALS_IN_SERIES: usize = 2;
+/// The longest pause between two signals of a series.
+const MAX_SIGNAL_PAUSE: Duration = Duration::from_millis(150);
 /// The time for which clients still open connections to a router that has to terminate, because the load balancer in
 /// front of it has not noticed yet.
 const LOAD_BALANCER_DELAY: Duration = Duration::from_millis(300);
@@ -135,21 +140,39 @@
 async fn restart(world: Arc<World>, router: RouterIndex) {
     let Some(restart) = world.begin_restart(router) else { return };
     let process = &world.routers[router];
+    signal_in_series(&world, router, &[RouterSignal::Reload]).await;
     process.signal(RouterSignal::Terminate);
+    let terminated = clock::now();
+    tokio::spawn({
+        let world = world.clone();
+        async move { signal_in_series(&world, router, &[RouterSignal::Reload, RouterSignal::Terminate]).await }
+    });
     tokio::time::sleep(LOAD_BALANCER_DELAY).await;
     world.load.set_open(router, false);
-    if !process.exits_within(SHUTDOWN_TIMEOUT - LOAD_BALANCER_DELAY).await {
+    let kill_at = terminated + world.deployment.shutdown_timeout();
+    if !process.exits_within(kill_at.since(clock::now())).await {
         process.signal(RouterSignal::Kill);
-        let _ = process.exits_within(SHUTDOWN_TIMEOUT).await;
+        let _ = process.exits_within(KILL_TIMEOUT).await;
     }
     restart.start_process().await;
 }
 
+/// Sends a process none, one or more of these signals with short pauses, as scripts of operators do.
+async fn signal_in_series(world: &World, router: RouterIndex, signals: &[RouterSignal]) {
+    let count = rand::rng().random_range(0..=MAX_SIGNALS_IN_SERIES);
+    for _ in 0..count {
+        let choice = rand::rng().random_range(0..signals.len());
+        world.routers[router].signal(signals[choice]);
+        let pause = rand::rng().random_range(Duration::ZERO..MAX_SIGNAL_PAUSE);
+        tokio::time::sleep(pause).await;
+    }
+}
+
 async fn kill_and_restart(world: Arc<World>, router: RouterIndex) {
     let Some(restart) = world.begin_restart(router) else { return };
     world.load.set_open(router, false);
     world.routers[router].signal(RouterSignal::Kill);
-    let _ = world.routers[router].exits_within(SHUTDOWN_TIMEOUT).await;
+    let _ = world.routers[router].exits_within(KILL_TIMEOUT).await;
     let pause = rand::rng().random_range(100..1_500);
     tokio::time::sleep(Duration::from_millis(pause)).await;
     restart.start_process().await;
--- a/crates/fault-soak/src/lib.rs
+++ b/crates/fault-soak/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod report;
 pub mod router;
 pub mod run;
+pub mod scenario;
 pub mod world;
--- a/crates/fault-soak/src/load.rs
+++ b/crates/fault-soak/src/load.rs
@@ -23,6 +23,8 @@
 const MAX_DISCONNECT_DELAY: Duration = Duration::from_secs(1);
 /// The share of requests with a timeout that can hardly be met.
 const SHORT_TIMEOUT_SHARE: f64 = 0.03;
+/// The shortest ordinary deadline, as a share of the longest one.
+const MIN_DEADLINE_SHARE: f64 = 0.3;
 /// The share of requests whose prompt starts with a prefix that other requests have as well.
 const SHARED_PREFIX_SHARE: f64 = 0.6;
 /// The length of a shared prefix in tokens.
@@ -46,6 +48,7 @@
 pub struct Load {
     /// Requests per second at each router.
     rate: f64,
+    max_deadline: Duration,
     clients: Vec<Clients>,
     /// For each router: whether new connections are sent to it, as a load balancer in front of the routers decides.
     is_open: Vec<AtomicBool>,
@@ -61,6 +64,7 @@
             LoadProfile { rate_multiplier: 1.0, disconnect_share: USUAL_DISCONNECT_SHARE, slow_share: 0.0 };
         Load {
             rate: deployment.request_rate,
+            max_deadline: deployment.scenario.max_deadline,
             clients: (0..deployment.routers).map(clients).collect(),
             is_open: (0..deployment.routers).map(|_| AtomicBool::new(false)).collect(),
             profile: Mutex::new(profile),
@@ -78,6 +82,11 @@
         self.is_finished.store(true, Ordering::Relaxed);
     }
 
+    /// Whether no more requests are sent.
+    pub fn is_finished(&self) -> bool {
+        self.is_finished.load(Ordering::Relaxed)
+    }
+
     /// Changes the profile of the load.
     pub fn update(&self, change: impl FnOnce(&mut LoadProfile)) {
         change(&mut lock(&self.profile));
@@ -89,7 +98,7 @@
 
     /// Sends requests to one router until the load is finished, at exponentially distributed intervals.
     pub async fn run(self: Arc<Self>, router: RouterIndex) {
-        while !self.is_finished.load(Ordering::Relaxed) {
+        while !self.is_finished() {
             let rate = self.rate * self.profile().rate_multiplier;
             let pause = -rand::rng().random::<f64>().max(1e-9).ln() / rate;
             tokio::time::sleep(Duration::from_secs_f64(pause)).await;
@@ -99,7 +108,7 @@
 
     /// Runs one client, which may retry its request.
     async fn run_client(self: Arc<Self>, router: RouterIndex) {
-        let mut request = draw_request();
+        let mut request = draw_request(self.max_deadline);
         for _ in 0..MAX_CLIENT_ATTEMPTS {
             // A client keeps using its own connection for as long as that stays open.
             let is_open = self.is_open[router].load(Ordering::Relaxed);
@@ -109,7 +118,7 @@
             let behaviour = self.draw_behaviour(request.first_token_timeout);
             let outcome = self.clients[router].send(&request, behaviour).await;
             let Some(pause) = retry_pause(outcome, request.idempotency) else { return };
-            if self.is_finished.load(Ordering::Relaxed) {
+            if self.is_finished() {
                 return;
             }
             tokio::time::sleep(pause).await;
@@ -144,13 +153,13 @@
     format!("q{:06}", NEXT_REQUEST.fetch_add(1, Ordering::Relaxed)).into()
 }
 
-fn draw_request() -> Request {
+fn draw_request(max_deadline: Duration) -> Request {
     let mut random = rand::rng();
     let class = CLASSES[random.random_range(0..CLASSES.len())];
     let first_token_timeout = if random.random_bool(SHORT_TIMEOUT_SHARE) {
         random.random_range(Duration::from_millis(5)..Duration::from_millis(80))
     } else {
-        random.random_range(Duration::from_millis(1_200)..Duration::from_secs(4))
+        random.random_range(max_deadline.mul_f64(MIN_DEADLINE_SHARE)..max_deadline)
     };
     let shared_prefix = random.random_bool(SHARED_PREFIX_SHARE).then(|| SharedPrefix {
         key: format!("p{}", random.random_range(0..12)),
--- a/crates/fault-soak/src/run.rs
+++ b/crates/fault-soak/src/run.rs
@@ -2,8 +2,10 @@
 
 use crate::deployment::Deployment;
 use crate::error::SoakError;
+use crate::faults::keep_crowded;
 use crate::faults::plan::{PlannedFault, draw_plan};
 use crate::router::{Programs, Router};
+use crate::scenario::Scenario;
 use crate::world::World;
 use fleet_emulator::clock::{self, Timestamp};
 use fleet_emulator::record::{Record, RouterSignal};
@@ -66,7 +68,7 @@
 /// The fleet or a router can't be started.
 pub async fn run(options: &Options) -> Result<FinishedRun, SoakError> {
     let mut random = StdRng::seed_from_u64(options.seed);
-    let deployment = Deployment::draw(&mut random, options.router_count);
+    let deployment = Deployment::draw(&mut random, options.router_count, Scenario::of_seed(options.seed));
     let world = World::start(options.seed, deployment, &options.programs, &options.folder).await?;
     for router in 0..options.router_count {
         world.start_router(router).await?;
@@ -75,6 +77,9 @@
         [tokio::spawn(sample_resources(world.clone())), tokio::spawn(measure_delay(world.clone()))];
     for router in 0..options.router_count {
         tokio::spawn(world.load.clone().run(router));
+        if deployment.scenario.has_crowd {
+            tokio::spawn(keep_crowded(world.clone(), router));
+        }
     }
     let plan = plan_faults(options, &deployment, &mut random);
     let start = clock::now();
--- a/crates/fault-soak/src/world.rs
+++ b/crates/fault-soak/src/world.rs
@@ -169,7 +169,9 @@
     deployment: &Deployment,
     history: &History,
 ) -> io::Result<Arc<Fleet>> {
-    let fleet = Fleet::start(network, deployment.routers, history.clone()).await?;
+    let fleet =
+        Fleet::start(network, deployment.routers, deployment.scenario.names_per_worker, history.clone())
+            .await?;
     let roles = std::iter::repeat_n(Role::Prefill, deployment.prefill_workers)
         .chain(std::iter::repeat_n(Role::Decode, deployment.decode_workers));
     for role in roles {
--- a/crates/fleet-emulator/src/agent/endpoints.rs
+++ b/crates/fleet-emulator/src/agent/endpoints.rs
@@ -68,13 +68,18 @@
 pub(super) struct EndpointList {
     /// The number of changes so far.
     version: u64,
-    endpoints: BTreeMap<WorkerIndex, VersionedEndpoint>,
+    /// By worker, then by the number of the name under which it is listed.
+    endpoints: BTreeMap<(WorkerIndex, usize), VersionedEndpoint>,
 }
 
 impl EndpointList {
-    pub(super) fn update(&mut self, worker: WorkerIndex, endpoint: Endpoint) {
+    /// Replaces the entries of a worker, one for each of its names.
+    pub(super) fn update(&mut self, worker: WorkerIndex, entries: Vec<Endpoint>) {
         self.version += 1;
-        self.endpoints.insert(worker, VersionedEndpoint { changed_in: self.version, endpoint });
+        for (number, endpoint) in entries.into_iter().enumerate() {
+            let versioned = VersionedEndpoint { changed_in: self.version, endpoint };
+            self.endpoints.insert((worker, number), versioned);
+        }
     }
 
     /// All endpoints that still exist.
--- a/crates/fleet-emulator/src/agent/mod.rs
+++ b/crates/fleet-emulator/src/agent/mod.rs
@@ -53,7 +53,7 @@
     history: History,
     endpoints: Mutex<EndpointList>,
     /// The updates that an unavailable agent receives as soon as it is available again.
-    pending: Mutex<Vec<(WorkerIndex, Endpoint)>>,
+    pending: Mutex<Vec<(WorkerIndex, Vec<Endpoint>)>>,
     condition: watch::Sender<Condition>,
     /// The number of connections so far.
     connections: Mutex<u64>,
@@ -110,14 +110,16 @@
         lock(&self.endpoints).snapshot()
     }
 
-    /// Updates an endpoint, or, while the agent is unavailable, as soon as it is available again.
-    pub fn update(&self, worker: WorkerIndex, endpoint: Endpoint) {
+    /// Updates the entries of a worker, or, while the agent is unavailable, as soon as it is available again. The first
+    /// entry is the worker's own; the others are further names of it.
+    pub fn update(&self, worker: WorkerIndex, entries: Vec<Endpoint>) {
         if self.condition.borrow().is_unavailable {
-            lock(&self.pending).push((worker, endpoint));
+            lock(&self.pending).push((worker, entries));
             return;
         }
-        let (router, is_ready) = (self.router, endpoint.health == Health::Ready);
-        lock(&self.endpoints).update(worker, endpoint);
+        let router = self.router;
+        let is_ready = entries.first().is_some_and(|endpoint| endpoint.health == Health::Ready);
+        lock(&self.endpoints).update(worker, entries);
         let withdrawn = Record::WorkerWithdrawn { router, worker };
         self.history.add(if is_ready { Record::WorkerInService { router, worker } } else { withdrawn });
         self.condition.send_modify(|condition| condition.version += 1);
@@ -127,8 +129,8 @@
     pub fn set_unavailable(&self, is_unavailable: bool) {
         self.condition.send_modify(|condition| condition.is_unavailable = is_unavailable);
         if !is_unavailable {
-            for (worker, endpoint) in std::mem::take(&mut *lock(&self.pending)) {
-                self.update(worker, endpoint);
+            for (worker, entries) in std::mem::take(&mut *lock(&self.pending)) {
+                self.update(worker, entries);
             }
         }
     }
--- a/crates/fleet-emulator/src/fleet.rs
+++ b/crates/fleet-emulator/src/fleet.rs
@@ -63,6 +63,8 @@
     pub network: LoopbackNetwork,
     /// The history to which all stand-ins write.
     pub history: History,
+    /// Under how many names each worker is listed that started long ago.
+    names_per_worker: usize,
     reservations: CacheReservations,
     members: Mutex<Vec<Member>>,
     /// By router, then by worker.
@@ -72,11 +74,17 @@
 }
 
 impl Fleet {
-    /// Starts a fleet without workers.
+    /// Starts a fleet without workers. Each worker that started long ago is listed under so many names: routers take it
+    /// for as many workers, so a few of them stand for a large fleet.
     ///
     /// # Errors
     /// An address is in use.
-    pub async fn start(network: LoopbackNetwork, routers: usize, history: History) -> io::Result<Arc<Self>> {
+    pub async fn start(
+        network: LoopbackNetwork,
+        routers: usize,
+        names_per_worker: usize,
+        history: History,
+    ) -> io::Result<Arc<Self>> {
         let mut agents = Vec::new();
         for router in 0..routers {
             agents.push(Agent::start(router, network.agent_address(router, 0), history.clone()).await?);
@@ -84,6 +92,7 @@
         Ok(Arc::new(Fleet {
             network,
             history,
+            names_per_worker,
             reservations: CacheReservations::default(),
             members: Mutex::default(),
             links: Mutex::new(vec![Vec::new(); routers]),
@@ -183,13 +192,28 @@
         }
     }
 
+    /// A worker as a router's discovery agent lists it, under all of its names. A process that has started lately is
+    /// listed under one alone: what it can serve is counted by the name.
+    fn entries(&self, router: RouterIndex, worker: WorkerIndex) -> Vec<Endpoint> {
+        let own = self.endpoint(router, worker);
+        let health = if own.started_ms == 0 { own.health } else { Health::Gone };
+        let further = (1..self.names_per_worker).map(|number| Endpoint {
+            name: format!("{}-{number}", own.name),
+            health,
+            started_ms: 0,
+            ..own.clone()
+        });
+        let further: Vec<Endpoint> = further.collect();
+        std::iter::once(own).chain(further).collect()
+    }
+
     /// Sends the present state of a worker to all agents, after `delay`.
     fn announce(self: &Arc<Self>, worker: WorkerIndex, delay: Duration) {
-        let endpoints: Vec<Endpoint> =
-            (0..self.agents.len()).map(|router| self.endpoint(router, worker)).collect();
+        let entries: Vec<Vec<Endpoint>> =
+            (0..self.agents.len()).map(|router| self.entries(router, worker)).collect();
         let update_agents = move |fleet: &Fleet| {
-            for (agent, endpoint) in fleet.agents.iter().zip(endpoints) {
-                agent.update(worker, endpoint);
+            for (agent, entries) in fleet.agents.iter().zip(entries) {
+                agent.update(worker, entries);
             }
         };
         if delay.is_zero() {
