--- a/crates/fault-soak/src/oracle/mod.rs
+++ b/crates/fault-soak/src/oracle/mod.rs
@@ -38,7 +38,7 @@
     slow_start::check(&run, deployment, &mut findings);
     misbehaving_clients::check(&run, &mut findings);
     processes::check(&run, deployment, &mut findings);
-    let recovered_share = recovery::check(&run, &observed, &mut findings);
+    let recovered_share = recovery::check(&run, deployment, &observed, &mut findings);
     let summary = Summary {
         outcomes: responses::outcomes(&run),
         recovered_share,
--- a/crates/fleet-emulator/src/link/carrier.rs
+++ b/crates/fleet-emulator/src/link/carrier.rs
@@ -47,16 +47,18 @@
 }
 
 impl<'a> Carrier<'a> {
+    /// A carrier of a connection on which the router wrote its first byte already, if `first_byte_at` says when.
     pub(super) fn new(
         link: &'a Link,
         state: watch::Receiver<LinkState>,
         connection: ConnectionNumber,
+        first_byte_at: Option<Timestamp>,
     ) -> Self {
         Carrier {
             link,
             state,
             connection,
-            scanner: RequestScanner::default(),
+            scanner: RequestScanner::new(first_byte_at),
             undelivered: Vec::new(),
             last_received: None,
             reset_at: None,
--- a/crates/fleet-emulator/src/link/mod.rs
+++ b/crates/fleet-emulator/src/link/mod.rs
@@ -6,6 +6,7 @@
 mod carrier;
 mod scanner;
 
+use crate::clock::{self, Timestamp};
 use crate::history::History;
 use crate::record::{ConnectionNumber, Record, RouterIndex};
 use crate::worker::Worker;
@@ -139,13 +140,11 @@
     async fn carry(self: Arc<Self>, stream: TcpStream) {
         let connection: ConnectionNumber = NEXT_CONNECTION.fetch_add(1, Ordering::Relaxed);
         let delay = self.state.borrow().connect_delay;
-        if !delay.is_zero() {
-            tokio::time::sleep(delay).await;
-        }
+        let first_byte_at = if delay.is_zero() { None } else { delay_connection(&stream, delay).await };
         let _ = stream.set_nodelay(true);
         let (near, far) = tokio::io::duplex(WORKER_BUFFER_BYTES);
         let serving = tokio::spawn(self.worker.clone().serve(far, connection));
-        let mut carrier = Carrier::new(&self, self.state.subscribe(), connection);
+        let mut carrier = Carrier::new(&self, self.state.subscribe(), connection, first_byte_at);
         let end = carrier.run(&stream, near).await;
         if end == End::Reset {
             let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
@@ -159,6 +158,15 @@
     }
 }
 
+/// Waits while a connection carries nothing. Returns when the router wrote its first byte, if it did so meanwhile.
+async fn delay_connection(stream: &TcpStream, delay: Duration) -> Option<Timestamp> {
+    let until = clock::now() + delay;
+    let is_written = tokio::time::timeout(delay, stream.readable()).await.is_ok();
+    let first_byte_at = is_written.then(clock::now);
+    clock::sleep_until(until).await;
+    first_byte_at
+}
+
 fn listen(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
     socket.set_reuse_address(true)?;
--- a/crates/fleet-emulator/src/link/scanner.rs
+++ b/crates/fleet-emulator/src/link/scanner.rs
@@ -11,8 +11,9 @@
 }
 
 /// Follows the boundaries of requests on one connection.
-#[derive(Default)]
 pub(super) struct RequestScanner {
+    /// When the first byte of the connection was written, if that was before it is scanned.
+    first_byte_at: Option<Timestamp>,
     /// The part of a head that has been written.
     partial_head: Vec<u8>,
     /// The bytes of the current body that have not been written.
@@ -22,6 +23,16 @@
 }
 
 impl RequestScanner {
+    /// A scanner from the start of a connection.
+    pub(super) fn new(first_byte_at: Option<Timestamp>) -> Self {
+        RequestScanner {
+            first_byte_at,
+            partial_head: Vec::new(),
+            remaining_body: 0,
+            head_started: Timestamp::default(),
+        }
+    }
+
     /// Whether the last request is complete and no other has started.
     pub(super) fn is_between_requests(&self) -> bool {
         self.partial_head.is_empty() && self.remaining_body == 0
@@ -38,7 +49,7 @@
                 continue;
             }
             if self.partial_head.is_empty() {
-                self.head_started = clock::now();
+                self.head_started = self.first_byte_at.take().unwrap_or_else(clock::now);
             }
             self.partial_head.extend_from_slice(bytes);
             let Ok(Some((head, length))) = http::parse_request(&self.partial_head) else { break };
