Parse a long list of workers when it is complete, not at each of its pieces

Found while related paths were read: an indented list on a watch was parsed from its start at each piece that arrived, since any line end made it look as if it might be complete.

The parser follows braces and strings, each byte once, and parses when the object is complete. What may be malformed is still tried at each piece while it is short, and then whenever it has doubled.

--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -12,6 +12,7 @@
 mod error;
 mod messages;
 mod mode;
+mod object_scanner;
 mod parser;
 mod update;
 mod watch;
--- a/src/net/discovery/parser.rs
+++ b/src/net/discovery/parser.rs
@@ -1,8 +1,12 @@
 //! The messages in the byte stream of a watch.
 
 use super::messages::ListMessage;
+use super::object_scanner::ObjectScanner;
 use bytes::{Buf, BytesMut};
 
+/// A shorter buffer is parsed at each piece that arrives, whether or not a message is complete.
+const SHORT_BUFFER_BYTES: usize = 16 * 1024;
+
 /// How the parser fared with the bytes that it had.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ParseProgress {
@@ -20,7 +24,12 @@
 /// stand between two of them. What is no JSON object and cannot become one is skipped to the end of its line.
 #[derive(Default)]
 pub struct MessageParser {
+    /// Starts with a message, or with what is none.
     buffer: BytesMut,
+    /// Finds the end of that message.
+    scanner: ObjectScanner,
+    /// How long the buffer was when parsing it failed for want of more.
+    parsed_bytes: usize,
 }
 
 impl MessageParser {
@@ -30,14 +39,14 @@
         let mut progress = ParseProgress::NoMessage;
         loop {
             self.skip_whitespace();
-            if !self.may_hold_complete_message() {
+            if !self.is_parsed_now() {
                 return progress;
             }
             let mut messages = serde_json::Deserializer::from_slice(&self.buffer).into_iter::<ListMessage>();
             match messages.next() {
                 Some(Ok(message)) => {
                     let end = messages.byte_offset();
-                    self.buffer.advance(end);
+                    self.advance(end);
                     progress = ParseProgress::Parsed;
                     on_message(message);
                 }
@@ -48,7 +57,10 @@
                     }
                     self.skip_line();
                 }
-                _ => return progress,
+                _ => {
+                    self.parsed_bytes = self.buffer.len();
+                    return progress;
+                }
             }
         }
     }
@@ -58,20 +70,36 @@
         self.buffer.len()
     }
 
-    /// False while the buffer certainly ends within a message: a long message that comes in many pieces would otherwise
-    /// be parsed again from its start at each of them.
-    fn may_hold_complete_message(&self) -> bool {
-        self.buffer.trim_ascii_end().ends_with(b"}") || self.buffer.contains(&b'\n')
+    /// Whether it is time to parse the buffer: a message is complete, or what has arrived may be malformed.
+    ///
+    /// The latter is tried at each piece while the buffer is short, and then only when it has doubled: a message that
+    /// comes in many pieces would otherwise be parsed from its start at each of them.
+    fn is_parsed_now(&mut self) -> bool {
+        if self.scanner.scan(&self.buffer) {
+            return true;
+        }
+        let is_worth_trying =
+            self.buffer.len() < SHORT_BUFFER_BYTES || self.buffer.len() >= 2 * self.parsed_bytes;
+        is_worth_trying && self.buffer.contains(&b'\n')
+    }
+
+    /// Removes bytes from the front of the buffer. What follows is another message.
+    fn advance(&mut self, bytes: usize) {
+        self.buffer.advance(bytes);
+        if bytes > 0 {
+            self.scanner = ObjectScanner::default();
+            self.parsed_bytes = 0;
+        }
     }
 
     fn skip_whitespace(&mut self) {
         let whitespace = self.buffer.len() - self.buffer.trim_ascii_start().len();
-        self.buffer.advance(whitespace);
+        self.advance(whitespace);
     }
 
     fn skip_line(&mut self) {
         let newline = self.buffer.iter().position(|byte| *byte == b'\n');
-        self.buffer.advance(newline.map_or(self.buffer.len(), |newline| newline + 1));
+        self.advance(newline.map_or(self.buffer.len(), |newline| newline + 1));
     }
 }
 
