--- a/src/runtime/driver/tests.rs
+++ b/src/runtime/driver/tests.rs
@@ -1,11 +1,11 @@
 //! Tests of what is private to the driver.
 
 use super::*;
-use crate::interface::{RequestSpec, WorkerId};
+use crate::interface::WorkerId;
 use crate::runtime::exchange::ForwardedRequest;
+use crate::runtime::fixtures::{forwarded_request, request_spec};
 use crate::runtime::timers::PRUNING_THRESHOLD;
 use crate::runtime::{Attempt, DriverHandle, ReleaseProgress};
-use bytes::Bytes;
 
 /// An upstream client that does nothing.
 struct NoUpstream;
@@ -27,27 +27,8 @@
     let (handle, mut inputs) = DriverHandle::channel(clock);
     let mut driver = Driver::new(Settings::default(), 1, clock, Rc::new(NoUpstream), Rc::default());
     for _ in 0..5 * PRUNING_THRESHOLD {
-        let spec = RequestSpec {
-            request: RequestId(0),
-            deadline: clock.now() + 600_000_000,
-            session: None,
-            prefix: None,
-            prefix_tokens: 0,
-            prompt_tokens: 1,
-            max_tokens: 1,
-            expected_decode_time: None,
-            class: String::new(),
-            tenant: None,
-        };
-        let forwarded = ForwardedRequest {
-            id: String::new(),
-            target: String::new(),
-            headers: Default::default(),
-            body: Bytes::new(),
-            client: Default::default(),
-            resources: None,
-        };
-        drop(handle.submit_request(spec, forwarded));
+        let spec = request_spec(clock.now() + 600_000_000);
+        drop(handle.submit_request(spec, forwarded_request()));
         while let Ok(input) = inputs.try_recv() {
             driver.handle_input(input);
         }
--- a/src/runtime/input_queue/tests.rs
+++ b/src/runtime/input_queue/tests.rs
@@ -1,41 +1,15 @@
 //! Tests of the queue of inputs.
 
 use super::*;
-use crate::interface::{RequestId, RequestSpec};
-use crate::runtime::exchange::ForwardedRequest;
+use crate::interface::RequestId;
+use crate::runtime::fixtures::{forwarded_request, request_spec};
 use crate::runtime::{Clock, DriverHandle};
 
-fn request_spec() -> RequestSpec {
-    RequestSpec {
-        request: RequestId(0),
-        deadline: 0,
-        session: None,
-        prefix: None,
-        prefix_tokens: 0,
-        prompt_tokens: 1,
-        max_tokens: 1,
-        expected_decode_time: None,
-        class: String::new(),
-        tenant: None,
-    }
-}
-
-fn forwarded_request() -> ForwardedRequest {
-    ForwardedRequest {
-        id: String::new(),
-        target: String::new(),
-        headers: Default::default(),
-        body: Default::default(),
-        client: Default::default(),
-        resources: None,
-    }
-}
-
 #[tokio::test]
 async fn new_requests_go_behind_what_happens_to_those_in_progress() {
     let (handle, arriving) = DriverHandle::channel(Clock::start());
     let mut inputs = InputQueue::new(arriving);
-    let _pending = [1, 2].map(|_| handle.submit_request(request_spec(), forwarded_request()));
+    let _pending = [1, 2].map(|_| handle.submit_request(request_spec(0), forwarded_request()));
     handle.submit(DriverInput::ClientDisconnected(RequestId(7)));
     handle.submit(DriverInput::ClientDisconnected(RequestId(8)));
     let mut order = Vec::new();
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -10,6 +10,8 @@
 pub mod counters;
 mod driver;
 pub mod exchange;
+#[cfg(test)]
+mod fixtures;
 mod handle;
 mod held_cache;
 mod input_queue;
--- a/tests/large_fleet.rs
+++ b/tests/large_fleet.rs
@@ -3,7 +3,6 @@
 mod support;
 
 use std::net::SocketAddr;
-use std::sync::{Mutex, mpsc};
 use std::thread;
 use std::time::{Duration, Instant};
 use support::*;
@@ -45,23 +44,6 @@
     }
 }
 
-/// A discovery agent that answers a watch with lines of the test's.
-fn discovery_agent() -> (Peer, mpsc::Sender<String>) {
-    let (lines, watched) = mpsc::channel::<String>();
-    let watched = Mutex::new(watched);
-    let agent = Peer::start(move |message, conn| {
-        if !message.line.contains("watch=1") {
-            return true;
-        }
-        conn.begin_stream();
-        while let Ok(line) = watched.lock().unwrap().recv() {
-            conn.chunk(&line);
-        }
-        false
-    });
-    (agent, lines)
-}
-
 /// Sends requests at an even rate, none of them waiting for another, and returns their answers.
 fn send_at_rate(router: SocketAddr, requests: u32, per_second: u32) -> Vec<(Message, Duration)> {
     let send = move |number: u32| {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -15,7 +15,7 @@
 
 pub use message::Message;
 pub use operator_file::operator_file;
-pub use peer::{Conn, Peer, recording_peer, recording_peer_with_releases, shared_channel};
+pub use peer::{Conn, Peer, discovery_agent, recording_peer, recording_peer_with_releases, shared_channel};
 pub use requests::{request, rpc_request};
 pub use router_process::{Counters, RouterProcess, exchange};
 pub use workers::{
--- a/tests/support/peer.rs
+++ b/tests/support/peer.rs
@@ -163,6 +163,23 @@
     (peer, lines)
 }
 
+/// A discovery agent that sends the lines of a channel on the watch, as they come.
+pub fn discovery_agent() -> (Peer, mpsc::Sender<String>) {
+    let (lines, watched) = mpsc::channel::<String>();
+    let watched = Mutex::new(watched);
+    let agent = Peer::start(move |message, conn| {
+        if !message.line.contains("watch=1") {
+            return true;
+        }
+        conn.begin_stream();
+        while let Ok(line) = watched.lock().unwrap().recv() {
+            conn.chunk(&line);
+        }
+        false
+    });
+    (agent, lines)
+}
+
 /// A channel whose sender the threads of a script may share.
 pub fn shared_channel() -> (Arc<dyn Fn(String) + Send + Sync>, mpsc::Receiver<String>) {
     let (sender, receiver) = mpsc::channel();
--- a/tests/system_calls.rs
+++ b/tests/system_calls.rs
@@ -84,18 +84,7 @@
 /// a sign that nothing more had arrived.
 #[test]
 fn a_watch_in_short_reads_is_followed_at_once() {
-    let (updates, watched) = std::sync::mpsc::channel::<String>();
-    let watched = std::sync::Mutex::new(watched);
-    let agent = Peer::start(move |message, conn| {
-        if !message.line.contains("watch=1") {
-            return true;
-        }
-        conn.begin_stream();
-        while let Ok(line) = watched.lock().unwrap().recv() {
-            conn.chunk(&line);
-        }
-        false
-    });
+    let (agent, updates) = discovery_agent();
     let (prefill, decode) = (Peer::prefill_worker(), decode_worker());
     let discovery = format!("discovery = \"{}\"\n", agent.address);
     let shimmed = ShimmedRouter::start(&operator_file(&[prefill.address], &[decode.address], &discovery));
