--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -50,10 +50,14 @@
     /// Short prompts go to a unified worker without a prefill, where there is one; all do where no prefill
     /// worker is left and others can process prompts.
     pub fn choose(context: DecisionContext<'_>, request: &Request) -> Option<Route> {
-        let prefill_workers = eligible_workers(context, Role::Prefill, request);
         let unified_workers = eligible_workers(context, Role::Unified, request);
         let decode_workers = eligible_workers(context, Role::Decode, request);
         let decode_worker_count = decode_workers.len() + unified_workers.len();
+        // A prefill that no decode worker can take over would only fill the prefill workers' memory.
+        if decode_worker_count == 0 {
+            return None;
+        }
+        let prefill_workers = eligible_workers(context, Role::Prefill, request);
         let average_prompt = context.latency.prompt_tokens().value_or(0.0);
         let is_short = request.spec.prompt_tokens as f64 <= average_prompt;
         let no_prefill_worker = prefill_workers.is_empty();
@@ -62,10 +66,6 @@
             let worker = DecodeChooser::new(context, request).choose(None)?;
             return Some(Route { worker, stage: PlannedStage::Decode, decode_worker_count });
         }
-        // A prefill that no decode worker can take over would only fill the prefill workers' memory.
-        if decode_worker_count == 0 {
-            return None;
-        }
         let time_budget = context.first_token_objective(request) as f64 * PREFILL_SHARE;
         let chooser = PrefillChooser::new(context, &request.spec, &prefill_workers);
         let PrefillChoice { worker, uncached_tokens } = chooser.choose(time_budget)?;
--- a/src/policy/eligibility.rs
+++ b/src/policy/eligibility.rs
@@ -21,6 +21,9 @@
     role: Role,
     request: &Request,
 ) -> Vec<&'a Worker> {
+    if context.membership.ready_count(role) == 0 {
+        return Vec::new();
+    }
     let mut available = available_workers(context, role, request);
     if available.iter().any(|candidate| candidate.accepts) {
         available.retain(|candidate| candidate.accepts);
--- a/src/policy/membership.rs
+++ b/src/policy/membership.rs
@@ -122,6 +122,11 @@
         self.roles[role as usize].workers.iter().filter(|worker| worker.is_ready())
     }
 
+    /// How many workers of a role are in service.
+    pub fn ready_count(&self, role: Role) -> usize {
+        self.roles[role as usize].ready
+    }
+
     /// The most workers of each role, by `Role as usize`, that were seen in service at once.
     pub fn peak_ready(&self) -> [usize; ROLE_COUNT] {
         self.roles.each_ref().map(|members| members.peak_ready)
--- a/src/policy/membership_tests.rs
+++ b/src/policy/membership_tests.rs
@@ -65,7 +65,8 @@
         slowness.sort_by(f64::total_cmp);
         let median = slowness.get(slowness.len() / 2).copied().unwrap_or(1.0);
         assert_eq!(membership.median_slowness(role), median);
-        assert!(membership.peak_ready()[role as usize] >= membership.ready(role).count());
+        assert_eq!(membership.ready_count(role), membership.ready(role).count());
+        assert!(membership.peak_ready()[role as usize] >= membership.ready_count(role));
         assert!(of_role().is_sorted_by_key(|worker| &worker.id));
     }
     let zones: HashSet<&str> = membership.iter().map(|worker| &*worker.location.zone).collect();
--- a/tests/large_fleet.rs
+++ b/tests/large_fleet.rs
@@ -17,6 +17,9 @@
 /// Requests of one measurement.
 const REQUESTS: u32 = 100;
 
+/// The deadline of each.
+const DEADLINE: Duration = Duration::from_secs(8);
+
 /// Changes of the endpoint list of one measurement.
 const UPDATES: usize = 1_000;
 
@@ -45,11 +48,18 @@
 }
 
 /// Sends requests at an even rate, none of them waiting for another, and returns their answers.
-fn send_at_rate(router: SocketAddr, requests: u32, per_second: u32) -> Vec<(Message, Duration)> {
-    let send = move |number: u32| {
+fn send_at_rate(
+    router: SocketAddr,
+    requests: u32,
+    per_second: u32,
+    deadline: Duration,
+) -> Vec<(Message, Duration)> {
+    let deadline = format!("x-deadline: {}m", deadline.as_millis());
+    let send = |number: u32| {
         thread::sleep(Duration::from_secs(1) * number / per_second);
+        let text = request(&format!("id-{number}"), "send", "hello").replace("x-deadline: 8000m", &deadline);
         let sent = Instant::now();
-        let answer = exchange(router, request(&format!("id-{number}"), "send", "hello").as_bytes());
+        let answer = exchange(router, text.as_bytes());
         (answer, sent.elapsed())
     };
     thread::scope(|scope| {
@@ -63,7 +73,7 @@
     let fleet = Workers::start();
     let router = RouterProcess::start(&fleet.operator_file(workers, ""));
     let before = router.cpu_time();
-    let answers = send_at_rate(router.address, REQUESTS, REQUESTS_PER_SECOND);
+    let answers = send_at_rate(router.address, REQUESTS, REQUESTS_PER_SECOND, DEADLINE);
     let used = router.cpu_time() - before;
     let served = answers.iter().filter(|(answer, _)| answer.status() == 200 && answer.whole).count();
     let slowest = answers.iter().map(|(_, time)| *time).max().unwrap();
@@ -114,3 +124,30 @@
     let large = cpu_time_of_updates(MANY_WORKERS);
     assert!(large <= usual.mul_f64(CPU_RATIO) + CPU_ALLOWANCE, "{usual:?} and {large:?}");
 }
+
+/// The CPU time that a router of this many workers takes for requests that wait until shortly before their deadline,
+/// since no decode worker is in service.
+fn cpu_time_of_waiting_requests(workers: usize) -> Duration {
+    const REQUESTS_PER_SECOND: u32 = 60;
+    const DEADLINE: Duration = Duration::from_secs(2);
+    let fleet = Workers::start();
+    let file = fleet.operator_file(workers, "");
+    let (other_workers, decode_workers) = file.split_at(file.find("host = \"answer-0\"").unwrap());
+    let draining = decode_workers.replace("health = \"ready\"", "health = \"draining\"");
+    let router = RouterProcess::start(&format!("{other_workers}{draining}"));
+    let before = router.cpu_time();
+    let answers = send_at_rate(router.address, 3 * REQUESTS_PER_SECOND, REQUESTS_PER_SECOND, DEADLINE);
+    let used = router.cpu_time() - before;
+    println!("{workers} workers: {used:?} of CPU time for {} requests that wait", answers.len());
+    assert!(answers.iter().all(|(answer, time)| answer.status() == 503 && *time < DEADLINE));
+    used
+}
+
+/// Guards against a router that falls behind while its requests wait for workers: at each step of the timer, each of
+/// them went through the whole fleet.
+#[test]
+fn requests_that_wait_go_through_the_whole_fleet_again_and_again() {
+    let usual = cpu_time_of_waiting_requests(USUAL_WORKERS);
+    let large = cpu_time_of_waiting_requests(MANY_WORKERS);
+    assert!(large <= usual.mul_f64(CPU_RATIO) + CPU_ALLOWANCE, "{usual:?} and {large:?}");
+}
