Start also where the machine has no descriptor left for a moment

Operators saw a router that refuses to start.

Listening is retried with backoff for 4 s, as connecting is, by the same classification of errors; an address in use ends the start after that time, as before at once. The new test failed before: the process ended without serving.

--- a/src/net/socket.rs
+++ b/src/net/socket.rs
@@ -41,10 +41,15 @@
 ///
 /// The runtime's own default is 128. Connections beyond it, in a burst or while the process was paused, were
 /// rejected by the kernel and came back with the client's retransmission a second later.
+/// Failures of this machine are retried with backoff until `deadline`.
 ///
 /// # Errors
 /// The system can't listen on the address.
-pub fn listen(address: SocketAddr, backlog: usize) -> io::Result<TcpListener> {
+pub async fn listen(address: SocketAddr, backlog: usize, deadline: Instant) -> io::Result<TcpListener> {
+    retry_local_failures(deadline, async || listen_once(address, backlog)).await
+}
+
+fn listen_once(address: SocketAddr, backlog: usize) -> io::Result<TcpListener> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     // A restarted process must get its address back while connections of the previous one are in TIME_WAIT.
     socket.set_reuseaddr(true)?;
@@ -60,10 +65,18 @@
 /// # Errors
 /// The peer's failure, or the last failure of this machine.
 pub async fn connect(address: SocketAddr, deadline: Instant) -> io::Result<TcpStream> {
+    retry_local_failures(deadline, async || TcpStream::connect(address).await).await
+}
+
+/// Calls `attempt` again, with backoff, for as long as it fails for this machine's sake and there is time.
+async fn retry_local_failures<T>(
+    deadline: Instant,
+    attempt: impl AsyncFn() -> io::Result<T>,
+) -> io::Result<T> {
     let mut pause = LOCAL_RETRY_PAUSE;
     loop {
-        let error = match TcpStream::connect(address).await {
-            Ok(stream) => return Ok(stream),
+        let error = match attempt().await {
+            Ok(value) => return Ok(value),
             Err(error) => error,
         };
         match connect_failure(&error) {
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -40,7 +40,7 @@
 async fn run(mut config: Config, source: ConfigSource, log: &Log) -> Result<(), StartError> {
     // Before clients or operators can reach the process: SIGHUP ends it until a handler is registered.
     let mut signals = Signals::register().map_err(StartError::Signals)?;
-    let router = Router::start(&mut config)?;
+    let router = Router::start(&mut config).await?;
     let mut reloader = Reloader::new(source, config, router.discovery.clone(), router.counters.clone());
     serve_until_stopped(&router, &mut signals, &mut reloader, log).await;
     let Router { shutdown, counters, .. } = router;
--- a/src/process/router.rs
+++ b/src/process/router.rs
@@ -25,10 +25,14 @@
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, watch};
 use tokio::task::spawn_local;
+use tokio::time::Instant;
 
 /// A shorter connect timeout in the settings, 0 where none is stated, is raised to this.
 const MIN_CONNECT_TIMEOUT: Duration = Duration::from_millis(10);
 
+/// A start fails when this machine has had nothing to listen with for this long.
+const LISTEN_TIMEOUT: Duration = Duration::from_secs(4);
+
 /// Unit of the configured memory limit.
 const BYTES_PER_MEGABYTE: usize = 1024 * 1024;
 /// Bodies of requests may take the memory limit divided by this.
@@ -57,8 +61,8 @@
     ///
     /// # Errors
     /// The address can't be listened on, or there are too few sockets.
-    pub fn start(config: &mut Config) -> Result<Self, StartError> {
-        let (address, socket) = bind(config)?;
+    pub async fn start(config: &mut Config) -> Result<Self, StartError> {
+        let (address, socket) = bind(config).await?;
         let counters = Rc::<Counters>::default();
         let clock = Clock::start();
         let (driver_handle, inputs) = DriverHandle::channel(clock);
@@ -97,8 +101,9 @@
     }
 }
 
-fn bind(config: &Config) -> Result<(SocketAddr, TcpListener), StartError> {
-    let listener = listen(config.listen, config.limits.sockets);
+async fn bind(config: &Config) -> Result<(SocketAddr, TcpListener), StartError> {
+    let deadline = Instant::now() + LISTEN_TIMEOUT;
+    let listener = listen(config.listen, config.limits.sockets, deadline).await;
     let bound = listener.and_then(|listener| Ok((listener.local_addr()?, listener)));
     bound.map_err(|source| StartError::Listen { address: config.listen, source })
 }
--- a/tests/support/shim.rs
+++ b/tests/support/shim.rs
@@ -1,11 +1,12 @@
 //! The router with the fault shim loaded: system calls fail when the test says so.
 
 use super::RouterProcess;
-use fault_plan::{CONTROL_VARIABLE, Control};
+use fault_plan::{CONTROL_VARIABLE, Control, SystemCallFault};
 use std::path::{Path, PathBuf};
 use std::process::Command;
 use std::sync::OnceLock;
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
 
 /// Descriptors that the router is granted.
 const DESCRIPTORS: usize = 1024;
@@ -25,12 +26,36 @@
 impl ShimmedRouter {
     /// Starts a router with this operator's file.
     pub fn start(operator_file: &str) -> ShimmedRouter {
-        let control_file = ControlFile::new();
-        let control = Control::create(&control_file.0).unwrap();
-        let environment = [("LD_PRELOAD", shim()), (CONTROL_VARIABLE, control_file.0.as_path())];
-        let router = RouterProcess::start_in(DESCRIPTORS, operator_file, &environment);
+        let (control, control_file) = new_control();
+        let router = start_shimmed(operator_file, &control_file);
         ShimmedRouter { router, control, _control_file: control_file }
     }
+
+    /// Starts a router while the calls that the fault applies to fail, until the first of them has failed.
+    pub fn start_under(operator_file: &str, fault: SystemCallFault) -> ShimmedRouter {
+        let (control, control_file) = new_control();
+        control.set_period(fault, 1).unwrap();
+        let router = std::thread::scope(|scope| {
+            scope.spawn(|| {
+                while control.count(fault).unwrap() == 0 {
+                    std::thread::sleep(Duration::from_millis(5));
+                }
+                control.set_period(fault, 0).unwrap();
+            });
+            start_shimmed(operator_file, &control_file)
+        });
+        ShimmedRouter { router, control, _control_file: control_file }
+    }
+}
+
+fn new_control() -> (Control, ControlFile) {
+    let control_file = ControlFile::new();
+    (Control::create(&control_file.0).unwrap(), control_file)
+}
+
+fn start_shimmed(operator_file: &str, control_file: &ControlFile) -> RouterProcess {
+    let environment = [("LD_PRELOAD", shim()), (CONTROL_VARIABLE, control_file.0.as_path())];
+    RouterProcess::start_in(DESCRIPTORS, operator_file, &environment)
 }
 
 impl ControlFile {
--- a/tests/system_calls.rs
+++ b/tests/system_calls.rs
@@ -95,3 +95,12 @@
     shimmed.router.wait_for("answer-0 (answer, here, cell 0) is Draining");
     assert_eq!(shimmed.router.request("id-late", "send").status(), 503);
 }
+
+/// Guards against a router that refuses to start because the machine has no descriptor left at that moment.
+#[test]
+fn a_start_fails_for_want_of_a_descriptor_for_a_moment() {
+    let (prefill, decode) = (Peer::prefill_worker(), decode_worker());
+    let file = operator_file(&[prefill.address], &[decode.address], "");
+    let shimmed = ShimmedRouter::start_under(&file, Fault::SocketFileTableFull);
+    send_requests(&shimmed.router, 1);
+}
