Let the driver's test of timers handle its requests before their clients leave

Since a request whose client has left is shed before it is entered, the test pushed no timer any more and could not fail. It handles each request first, and asserts that there is a timer. Without the pruning it fails again, with 5,120 timers.

--- a/src/runtime/driver/tests.rs
+++ b/src/runtime/driver/tests.rs
@@ -28,7 +28,10 @@
     let mut driver = Driver::new(Settings::default(), 1, clock, Rc::new(NoUpstream), Rc::default());
     for _ in 0..5 * PRUNING_THRESHOLD {
         let spec = request_spec(clock.now() + 600_000_000);
-        drop(handle.submit_request(spec, forwarded_request()));
+        let pending = handle.submit_request(spec, forwarded_request());
+        driver.handle_input(inputs.try_recv().unwrap());
+        assert!(driver.timers.len() > 0);
+        drop(pending);
         while let Ok(input) = inputs.try_recv() {
             driver.handle_input(input);
         }
