--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -91,12 +91,6 @@
         let number: u64 = number.parse().ok()?;
         Some(if unit == "m" { Duration::from_millis(number) } else { Duration::from_micros(number) })
     }
-
-    /// An entry of `X-Extras`.
-    pub fn extra(&self, name: &str) -> Option<u64> {
-        let pairs = self.header("x-extras")?.split(',');
-        pairs.filter_map(|pair| pair.trim().split_once('=')).find(|(n, _)| *n == name)?.1.parse().ok()
-    }
 }
 
 fn read_line(reader: &mut impl BufRead) -> io::Result<Option<String>> {
@@ -354,7 +348,6 @@
     states: Mutex<HashMap<String, String>>,
     /// When each idempotency key was first used; the key is forgotten after the window.
     keys: Mutex<HashMap<String, Instant>>,
-    draining: Mutex<Vec<String>>,
     plan: Box<dyn Fn(&str, &Request) -> Work + std::marker::Send + Sync>,
     /// The class whose requests carry a key, and the window for repeats.
     keyed: Option<(String, Duration)>,
@@ -371,7 +364,6 @@
             sends: Mutex::default(),
             states: Mutex::default(),
             keys: Mutex::default(),
-            draining: Mutex::default(),
             plan: Box::new(plan),
             keyed,
         })
@@ -391,11 +383,6 @@
         address
     }
 
-    /// From now on the nodo finishes the work that it has and turns away what is new.
-    pub fn drain(&self, name: &str) {
-        self.draining.lock().unwrap().push(name.to_owned());
-    }
-
     pub fn sends(&self) -> Vec<Send> {
         self.sends.lock().unwrap().clone()
     }
@@ -445,11 +432,6 @@
             sends.push(send.clone());
             sends.len() - 1
         };
-        if self.draining.lock().unwrap().iter().any(|draining| draining == name) {
-            send.outcome = "turned away (draining)".into();
-            self.end(send, index);
-            return writer.write_all(not_run("503 Service Unavailable").as_bytes());
-        }
         let work = (self.plan)(name, request);
         if role == Role::Reader {
             thread::sleep(work.read);
@@ -556,101 +538,36 @@
     format!("{{\"seq\":{seq},\"whole\":{whole},\"hosts\":[{}]}}", hosts.join(","))
 }
 
-struct AgentState {
-    /// The list by version, oldest first.
-    versions: Vec<(u64, Vec<Host>)>,
-    is_open: bool,
-    closes_watches_at: Option<Instant>,
-}
-
-/// A discovery agent. The first object of a watch is the whole list; changes follow as they come.
-pub struct Agent {
-    pub name: String,
-    pub address: SocketAddr,
-    state: Arc<Mutex<AgentState>>,
-    record: Arc<Recorder>,
-}
-
-impl Agent {
-    pub fn start(name: &str, record: &Arc<Recorder>, seq: u64, hosts: Vec<Host>) -> Agent {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let address = listener.local_addr().unwrap();
-        let state = AgentState { versions: vec![(seq, hosts)], is_open: true, closes_watches_at: None };
-        let state = Arc::new(Mutex::new(state));
-        let agent = Agent { name: name.to_owned(), address, state: state.clone(), record: record.clone() };
-        let (record, name) = (record.clone(), name.to_owned());
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                if !state.lock().unwrap().is_open {
-                    continue;
-                }
-                let (state, record, name) = (state.clone(), record.clone(), name.clone());
-                thread::spawn(move || serve_agent(stream, &state, &record, &name));
-            }
-        });
-        agent
-    }
-
-    /// Discovery has written a new version to the agent.
-    pub fn publish(&self, seq: u64, hosts: Vec<Host>) {
-        self.record.log(format!("agent {}: has version {seq}", self.name));
-        self.state.lock().unwrap().versions.push((seq, hosts));
-    }
-
-    /// Accepts no new connection and closes the open ones after 1.5 s.
-    pub fn retire(&self) {
-        let mut state = self.state.lock().unwrap();
-        state.is_open = false;
-        state.closes_watches_at = Some(Instant::now() + ms(1500));
-    }
+/// Starts a discovery agent whose list does not change, and returns its address. The first object of a watch is
+/// the whole list; an empty line follows every 2 s.
+pub fn start_agent(record: &Arc<Recorder>, list: String) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let record = record.clone();
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let (record, list) = (record.clone(), list.clone());
+            thread::spawn(move || serve_agent(stream, &record, &list));
+        }
+    });
+    address
 }
 
-fn serve_agent(stream: TcpStream, state: &Mutex<AgentState>, record: &Recorder, name: &str) {
+fn serve_agent(stream: TcpStream, record: &Recorder, list: &str) {
     let _ = stream.set_nodelay(true);
     let Ok(mut writer) = stream.try_clone() else { return };
     let Ok(Some(request)) = read_request(&mut BufReader::new(stream)) else { return };
-    record.log(format!("agent {name}: GET {}", request.target));
-    let latest = || state.lock().unwrap().versions.last().cloned().unwrap();
-    let (mut sent, hosts) = latest();
-    let whole = list_json(sent, true, &hosts);
+    record.log(format!("agent: GET {}", request.target));
+    let head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n";
     if !request.target.contains("watch=1") {
-        record.log(format!("agent {name}: answers with the whole list, version {sent}"));
-        let _ = write!(
-            writer,
-            "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{whole}",
-            whole.len()
-        );
+        let _ = write!(writer, "{head}Content-Length: {}\r\n\r\n{list}", list.len());
         return;
     }
     let chunk = |text: &str| format!("{:x}\r\n{text}\r\n", text.len());
-    record.log(format!("agent {name}: the watch's first object is the whole list, version {sent}"));
-    let head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n";
-    if writer.write_all(format!("{head}{}", chunk(&format!("{whole}\n"))).as_bytes()).is_err() {
-        return;
-    }
-    let (mut previous, mut written_at) = (hosts, Instant::now());
-    loop {
-        thread::sleep(ms(5));
-        if state.lock().unwrap().closes_watches_at.is_some_and(|at| Instant::now() >= at) {
-            return;
-        }
-        let (seq, hosts) = latest();
-        let line = if seq > sent {
-            let is_changed =
-                |host: &&Host| !previous.iter().any(|old| old.host == host.host && old.health == host.health);
-            let changed: Vec<Host> = hosts.iter().filter(is_changed).cloned().collect();
-            (sent, previous) = (seq, hosts.clone());
-            record.log(format!("agent {name}: writes the changes of version {seq}"));
-            format!("{}\n", list_json(seq, false, &changed))
-        } else if written_at.elapsed() >= ms(2000) {
-            "\n".to_owned()
-        } else {
-            continue;
-        };
-        written_at = Instant::now();
-        if writer.write_all(chunk(&line).as_bytes()).is_err() {
-            return;
-        }
+    let mut text = format!("{head}Transfer-Encoding: chunked\r\n\r\n{}", chunk(&format!("{list}\n")));
+    while writer.write_all(text.as_bytes()).is_ok() {
+        thread::sleep(ms(2000));
+        text = chunk("\n");
     }
 }
 
@@ -718,9 +635,6 @@
 pub struct Router {
     pub address: SocketAddr,
     folder: PathBuf,
-    known: String,
-    settings: String,
-    limits: Limits,
     child: Child,
 }
 
@@ -779,7 +693,7 @@
             let _ = Command::new("kill").args(["-KILL", &pid]).status();
             std::process::exit(COULD_NOT_RUN);
         });
-        let mut router = Router { address, folder, known, settings, limits, child };
+        let mut router = Router { address, folder, child };
         let started = Instant::now();
         while !router.is_ready() {
             let has_ended = router.child.try_wait().ok().flatten().is_some();
@@ -799,17 +713,6 @@
         read_answer(&mut BufReader::new(stream)).status == 200
     }
 
-    /// Replaces the configuration file by one that names another discovery address, and sends SIGHUP.
-    pub fn reconfigure(&self, discovery: SocketAddr) {
-        write_config(&self.folder, self.address, discovery, &self.known, &self.settings, self.limits)
-            .unwrap();
-        self.signal("-HUP");
-    }
-
-    pub fn signal(&self, signal: &str) {
-        let _ = Command::new("kill").args([signal, &self.child.id().to_string()]).status();
-    }
-
     pub fn pid(&self) -> u32 {
         self.child.id()
     }
--- a/review/standins/keyed.rs
+++ b/review/standins/keyed.rs
@@ -58,7 +58,8 @@
         hosts.push(Host { host: name.into(), dial: link.address, class: "mixto", health: "ready" });
         links.lock().unwrap().push((name.into(), link));
     }
-    let agent = Agent::start("A", record, 40, hosts.clone());
+    let known = list_json(40, true, &hosts);
+    let agent = start_agent(record, known.clone());
     let class = |name, effect, objective_ms, give_up_ms, value| Class {
         name,
         effect,
@@ -75,7 +76,7 @@
             class("multa", "idempotency_key", 3000, 15_000, 3.0),
         ],
     );
-    let mut router = Router::start(record, agent.address, list_json(40, true, &hosts), settings)?;
+    let mut router = Router::start(record, agent, known, settings)?;
 
     // Ordinary traffic, which leaves idle connections to all nodos.
     for round in 0..4 {
--- a/review/standins/spoilt.rs
+++ b/review/standins/spoilt.rs
@@ -37,7 +37,8 @@
     ] {
         hosts.push(Host { host: name.into(), dial: nodos.start(name, role), class, health: "ready" });
     }
-    let agent = Agent::start("A", record, 40, hosts.clone());
+    let known = list_json(40, true, &hosts);
+    let agent = start_agent(record, known.clone());
     let class = |name, objective_ms, give_up_ms, value| Class {
         name,
         effect: "read_like",
@@ -51,7 +52,7 @@
         &["read", "write"],
         &[class("consulta", 1000, 5000, 1.0), class("multa", 3000, 15_000, 3.0)],
     );
-    let mut router = Router::start(record, agent.address, list_json(40, true, &hosts), settings)?;
+    let mut router = Router::start(record, agent, known, settings)?;
     let address = router.address;
     let clients: Vec<_> = (0..REQUESTS)
         .map(|index| {
