Bound the memory of connections and of unfinished requests by the memory limit

Cause: no budget counted hyper's read buffers, which double with each read that fills them, up to 64 KiB for each connection; the budget of bodies counted the bytes received, not the capacity allocated for them; and the headers that are forwarded, and the id that is logged, were slices of the read buffer and kept it alive. The number of connections followed from the descriptors only.

Change: process::memory divides the limit. Half of it bounds the buffers and the number of all connections, to workers and to the tool server too; a third is reserved for the heads and bodies of requests, by allocated capacity. Heads are copied, so that the read buffer is free again. Why it works: whatever clients send before their request is complete is in one of the two parts, and both together leave a sixth of the limit.

A test of connections.rs had a budget of 16 bytes, for a body of 5. Heads count now, so it has 2 KiB, and what it checks is the same.

Regression test: tests/memory.rs, 560 clients, 32 MB.

--- a/src/frontend/chat_completions.rs
+++ b/src/frontend/chat_completions.rs
@@ -4,7 +4,7 @@
 use crate::interface::{Micros, RequestId, RequestSpec};
 use crate::net::is_valid_id;
 use crate::runtime::exchange::{DisconnectGuard, FinalResponse};
-use hyper::header::{self, HeaderName};
+use hyper::header::{self, HeaderName, HeaderValue};
 use hyper::{HeaderMap, Response, StatusCode};
 use std::fmt;
 use std::sync::Arc;
@@ -21,6 +21,9 @@
 /// Both client protocols use it.
 pub const BYTES_PER_TOKEN: u64 = 4;
 
+/// The memory that a header occupies beside its name and value, in bytes.
+const HEADER_OVERHEAD_BYTES: usize = 160;
+
 /// Hop-by-hop headers (RFC 9110, section 7.6.1), and headers that are set for each attempt.
 const NON_FORWARDED_HEADERS: [HeaderName; 12] = [
     header::CONNECTION,
@@ -197,6 +200,8 @@
 
 /// Removes the headers that are not forwarded to workers, including those that `Connection` lists. All others
 /// are kept, as workers may need any of them, such as an idempotency key.
+///
+/// Their values are copied, since those that hyper has parsed keep the connection's read buffer alive.
 pub fn end_to_end_headers(mut headers: HeaderMap) -> HeaderMap {
     let connection_options: Vec<HeaderName> = (headers.get_all(header::CONNECTION).iter())
         .filter_map(|value| value.to_str().ok())
@@ -206,9 +211,22 @@
     for name in NON_FORWARDED_HEADERS.iter().chain(&connection_options) {
         headers.remove(name);
     }
+    for value in headers.values_mut() {
+        if let Ok(copy) = HeaderValue::from_bytes(value.as_bytes()) {
+            *value = copy;
+        }
+    }
     headers
 }
 
+/// The memory that headers occupy, in bytes.
+pub fn header_memory(headers: &HeaderMap) -> usize {
+    let field_memory = |(name, value): (&HeaderName, &HeaderValue)| {
+        HEADER_OVERHEAD_BYTES + name.as_str().len() + value.len()
+    };
+    headers.iter().map(field_memory).sum()
+}
+
 /// Encodes the driver's response. The body of a streamed response holds the guard until the stream ends.
 pub fn encode_response(response: FinalResponse, disconnect_guard: DisconnectGuard) -> Response<ResponseBody> {
     match response {
--- a/src/frontend/context.rs
+++ b/src/frontend/context.rs
@@ -17,8 +17,8 @@
     pub is_ready: Box<dyn Fn() -> bool>,
     /// The counters that all components of the router share.
     pub counters: Rc<Counters>,
-    /// The memory that the bodies of all requests in flight may occupy together.
-    pub body_memory: Rc<MemoryBudget>,
+    /// The memory that the heads and bodies of all requests in flight may occupy together.
+    pub request_memory: Rc<MemoryBudget>,
     /// The ids of active requests, none of which another request may use at the same time.
     pub active_ids: Rc<ActiveRequestIds>,
 }
--- a/src/frontend/error.rs
+++ b/src/frontend/error.rs
@@ -3,6 +3,7 @@
 use crate::frontend::chat_completions::{self, InvalidHeader};
 use crate::frontend::response_body::{ResponseBody, plain_text};
 use crate::interface::Micros;
+use crate::net::server::memory_budget::BudgetExhausted;
 use crate::runtime::counters::Counters;
 use bytes::Bytes;
 use hyper::{Response, StatusCode};
@@ -43,9 +44,9 @@
     /// Another active request has the same id.
     #[error("a request with this id is active")]
     DuplicateId,
-    /// The bodies of active requests use up their memory budget.
-    #[error("the memory budget of request bodies is exhausted")]
-    MemoryBudgetExhausted,
+    /// The heads and bodies of active requests use up their memory budget.
+    #[error(transparent)]
+    MemoryBudgetExhausted(#[from] BudgetExhausted),
     /// The client had disconnected before the request was submitted.
     #[error("the client has disconnected")]
     ClientDisconnected,
@@ -84,7 +85,7 @@
             RequestError::DuplicateId => {
                 malformed(StatusCode::CONFLICT, "a request with this id is in hand\n".into())
             }
-            RequestError::MemoryBudgetExhausted => {
+            RequestError::MemoryBudgetExhausted(_) => {
                 counters.requests_shed.increment();
                 chat_completions::rejection(Some(RETRY_AFTER))
             }
--- a/src/frontend/jsonrpc/replay_buffer.rs
+++ b/src/frontend/jsonrpc/replay_buffer.rs
@@ -10,6 +10,7 @@
 use super::protocol::{ToolRequest, encode};
 use super::tool_client::{ToolClient, ToolOutcome, ToolReply};
 use crate::config::ToolSettings;
+use crate::net::buffer_limit::BufferLimit;
 use crate::runtime::counters::Counters;
 use bytes::Bytes;
 use serde_json::value::RawValue;
@@ -102,8 +103,13 @@
 
 impl ReplayBuffer {
     /// Creates an empty buffer.
-    pub fn new(settings: ToolSettings, connect_timeout: Duration, counters: Rc<Counters>) -> Rc<Self> {
-        let client = ToolClient::new(&settings, connect_timeout, counters.clone());
+    pub fn new(
+        settings: ToolSettings,
+        connect_timeout: Duration,
+        buffer_limit: BufferLimit,
+        counters: Rc<Counters>,
+    ) -> Rc<Self> {
+        let client = ToolClient::new(&settings, connect_timeout, buffer_limit, counters.clone());
         Rc::new(ReplayBuffer {
             entries: RefCell::default(),
             last_eviction: Cell::new(None),
--- a/src/frontend/jsonrpc/service.rs
+++ b/src/frontend/jsonrpc/service.rs
@@ -7,6 +7,7 @@
 use crate::config::ToolSettings;
 use crate::frontend::context::ServiceContext;
 use crate::frontend::response_body::ResponseBody;
+use crate::net::buffer_limit::BufferLimit;
 use crate::net::server::client_socket::ClientSocket;
 use bytes::Bytes;
 use hyper::Response;
@@ -26,11 +27,12 @@
         context: Rc<ServiceContext>,
         settings: ToolSettings,
         connect_timeout: Duration,
+        buffer_limit: BufferLimit,
         seed: u64,
     ) -> Rc<Self> {
         let path = settings.listen_path.clone();
         let counters = context.counters.clone();
-        let replay_buffer = ReplayBuffer::new(settings, connect_timeout, counters.clone());
+        let replay_buffer = ReplayBuffer::new(settings, connect_timeout, buffer_limit, counters.clone());
         let active_calls = ActiveCalls::new();
         let call_starter = CallStarter::new(context, active_calls.clone(), seed);
         let handler_context = HandlerContext { call_starter, active_calls, replay_buffer, counters };
--- a/src/frontend/jsonrpc/tool_client.rs
+++ b/src/frontend/jsonrpc/tool_client.rs
@@ -5,6 +5,7 @@
 use super::protocol::ToolResponse;
 use crate::config::ToolSettings;
 use crate::interface::WorkerId;
+use crate::net::buffer_limit::BufferLimit;
 use crate::net::upstream::pool::{ConnectError, Connection, Pool, PoolLimits, REUSE_DELAY, Target};
 use crate::runtime::counters::Counters;
 use bytes::Bytes;
@@ -90,12 +91,18 @@
 
 impl ToolClient {
     /// Creates a client without connections.
-    pub fn new(settings: &ToolSettings, connect_timeout: Duration, counters: Rc<Counters>) -> Self {
+    pub fn new(
+        settings: &ToolSettings,
+        connect_timeout: Duration,
+        buffer_limit: BufferLimit,
+        counters: Rc<Counters>,
+    ) -> Self {
         let limits = PoolLimits {
             max_connections: settings.max_concurrent_calls,
             connect_timeout,
             idle_timeout: IDLE_TIMEOUT,
             reuse_delay: REUSE_DELAY,
+            buffer_limit,
         };
         ToolClient {
             address: settings.address,
--- a/src/frontend/service.rs
+++ b/src/frontend/service.rs
@@ -10,14 +10,14 @@
 use crate::net::server::client_socket::ClientSocket;
 use crate::net::server::framing::HeadFraming;
 use crate::net::server::handler::RequestHandler;
-use crate::net::server::memory_budget::MemoryReservation;
+use crate::net::server::memory_budget::{BudgetExhausted, MemoryReservation};
 use crate::net::server::received_request::ReceivedRequest;
 use crate::net::server::request_label::RequestLabel;
 use crate::net::server::shutdown_phase::ShutdownPhase;
 use crate::runtime::exchange::ForwardedRequest;
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use std::any::Any;
 use std::convert::Infallible;
 use std::rc::Rc;
@@ -41,7 +41,7 @@
 /// response.
 struct RequestResources {
     _id: ActiveRequestId,
-    _body_memory: MemoryReservation,
+    _memory: MemoryReservation,
 }
 
 impl RequestService {
@@ -89,7 +89,8 @@
             if request.method() != Method::POST {
                 return Err(RequestError::MethodNotAllowed);
             }
-            let body = read_body(request.into_body(), client, &self.context.body_memory).await?;
+            let reservation = MemoryReservation::new(self.context.request_memory.clone());
+            let body = read_body(request.into_body(), client, reservation).await?;
             let RequestBody { bytes, reservation: _reservation } = body;
             return Ok(jsonrpc.respond(bytes, client).await);
         }
@@ -123,7 +124,9 @@
         if !self.context.request_classes.contains(&parsed.spec.class) {
             return Err(RequestError::UnknownClass);
         }
-        let body = read_body(body, client, &self.context.body_memory).await?;
+        let mut reservation = MemoryReservation::new(self.context.request_memory.clone());
+        let head = ForwardedHead::new(head, &mut reservation)?;
+        let body = read_body(body, client, reservation).await?;
         parsed.estimate_missing_prompt_length(body.bytes.len());
         check_can_be_submitted(client, shutdown)?;
         let active_id = self.context.active_ids.claim(&parsed.id);
@@ -153,21 +156,37 @@
     Ok(())
 }
 
+/// The parts of a request's head that are forwarded to workers. They share no memory with the connection's
+/// read buffer.
+struct ForwardedHead {
+    target: String,
+    headers: HeaderMap,
+}
+
+impl ForwardedHead {
+    /// Copies the parts from a head, and adds their memory to `reservation`.
+    fn new(head: Parts, reservation: &mut MemoryReservation) -> Result<Self, BudgetExhausted> {
+        let target = head.uri.path_and_query().map_or(chat_completions::PATH, |target| target.as_str());
+        let target = target.to_owned();
+        let headers = chat_completions::end_to_end_headers(head.headers);
+        reservation.grow(target.len() + chat_completions::header_memory(&headers))?;
+        Ok(ForwardedHead { target, headers })
+    }
+}
+
 /// Builds the request that is forwarded to workers.
 fn forwarded_request(
     id: String,
-    head: Parts,
+    head: ForwardedHead,
     body: RequestBody,
     active_id: ActiveRequestId,
     client: &Rc<ClientSocket>,
 ) -> ForwardedRequest {
-    let target =
-        head.uri.path_and_query().map_or(chat_completions::PATH, |target| target.as_str()).to_owned();
-    let resources: Rc<dyn Any> = Rc::new(RequestResources { _id: active_id, _body_memory: body.reservation });
+    let resources: Rc<dyn Any> = Rc::new(RequestResources { _id: active_id, _memory: body.reservation });
     ForwardedRequest {
         id,
-        target,
-        headers: chat_completions::end_to_end_headers(head.headers),
+        target: head.target,
+        headers: head.headers,
         body: body.bytes,
         client: client.connection(),
         resources: Some(resources),
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,8 +2,9 @@
 //!
 //! [`server`] serves clients, [`upstream`] connects to workers, and [`discovery`] to the discovery agent. A
 //! request passes from [`server`] to [`upstream`] only through an [`exchange`](crate::runtime::exchange).
-//! [`socket`] and [`failure`] are shared by all three.
+//! [`socket`], [`failure`] and [`buffer_limit`] are shared by several of them.
 
+pub mod buffer_limit;
 pub mod discovery;
 pub mod failure;
 pub mod server;
--- a/src/net/server/accept.rs
+++ b/src/net/server/accept.rs
@@ -1,5 +1,6 @@
 //! Accepts client connections within a limit.
 
+use crate::net::buffer_limit::BufferLimit;
 use crate::net::failure::{AcceptFailure, classify_accept_error};
 use crate::net::server::client_socket::ClientSocket;
 use crate::net::server::connection::serve;
@@ -62,6 +63,8 @@
     pub max_connections: usize,
     /// The maximum number of requests that await the head of their response; more are rejected.
     pub max_waiting_requests: usize,
+    /// The limit of the buffers of each connection.
+    pub buffer_limit: BufferLimit,
     /// The current phase of a graceful shutdown.
     pub shutdown: watch::Receiver<ShutdownPhase>,
     /// The registry of open connections.
@@ -186,10 +189,11 @@
             is_over_limit,
             shutdown: self.shutdown.clone(),
         };
+        let buffer_limit = self.buffer_limit;
         tokio::task::spawn_local(async move {
             // Held until the connection has ended, even if serving it panics.
             let _slot = slot;
-            serve(handler).await;
+            serve(handler, buffer_limit).await;
         });
     }
 
--- a/src/net/server/accept/tests.rs
+++ b/src/net/server/accept/tests.rs
@@ -52,6 +52,7 @@
         handler: EmptyResponses,
         max_connections: 64,
         max_waiting_requests: 64,
+        buffer_limit: BufferLimit::MAX,
         shutdown,
         connections: Rc::default(),
         counters: Rc::default(),
--- a/src/net/server/connection.rs
+++ b/src/net/server/connection.rs
@@ -4,6 +4,7 @@
 //! read once the sending side is shut down: the client may safely retry a request that crosses the close on
 //! the wire only if it was not read.
 
+use crate::net::buffer_limit::BufferLimit;
 use crate::net::server::client_socket::ClientSocket;
 use crate::net::server::connection_handler::ConnectionHandler;
 use crate::net::server::gated_socket::GatedSocket;
@@ -20,8 +21,6 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// hyper's buffer limit for one connection, which also limits the length of a request's head.
-const MAX_BUFFER_BYTES: usize = 64 * 1024;
 /// The delay after which a close deferred because of unread bytes is reconsidered. Within this time the
 /// runtime wakes hyper to read them.
 const UNREAD_RECHECK_INTERVAL: Duration = Duration::from_millis(1);
@@ -31,10 +30,10 @@
 
 /// Serves a connection until it has ended. If the future is dropped early, the socket closes at once, which
 /// resets the connection if received bytes are unread.
-pub async fn serve<H: RequestHandler>(handler: ConnectionHandler<H>) {
+pub async fn serve<H: RequestHandler>(handler: ConnectionHandler<H>, buffer_limit: BufferLimit) {
     let (client, counters) = (handler.client.clone(), handler.counters.clone());
     let _ = client.stream().set_nodelay(true);
-    let reason = serve_requests(handler, &client).await;
+    let reason = serve_requests(handler, &client, buffer_limit).await;
     log::debug!("connection {}: ends: {reason}", client.number());
     match reason {
         // hyper has already sent a 4xx response to malformed HTTP.
@@ -60,12 +59,13 @@
 async fn serve_requests<H: RequestHandler>(
     handler: ConnectionHandler<H>,
     client: &Rc<ClientSocket>,
+    buffer_limit: BufferLimit,
 ) -> CloseReason {
     let mut shutdown = handler.shutdown.clone();
     let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(None)
-        .max_buf_size(MAX_BUFFER_BYTES)
+        .max_buf_size(buffer_limit.bytes())
         .serve_connection(TokioIo::new(GatedSocket::new(client.clone())), handler);
     let mut recheck_at: Option<Instant> = None;
     loop {
--- a/src/net/server/request_label.rs
+++ b/src/net/server/request_label.rs
@@ -2,7 +2,6 @@
 
 use crate::net::is_valid_id;
 use hyper::Request;
-use hyper::header::HeaderValue;
 use std::fmt;
 
 /// The header with the request id in the chat completion protocol.
@@ -12,19 +11,21 @@
 ///
 /// Created before the request is passed to the handler, since a rejection is logged after the request is
 /// dropped.
-pub struct RequestLabel(Option<HeaderValue>);
+pub struct RequestLabel(Option<Box<str>>);
 
 impl RequestLabel {
     /// Creates the label of a request.
     pub fn new<B>(request: &Request<B>) -> Self {
-        RequestLabel(request.headers().get(REQUEST_ID_HEADER).cloned())
+        let id =
+            request.headers().get(REQUEST_ID_HEADER).and_then(|value| value.to_str().ok()).map(str::trim);
+        // A copy, since the header's value would keep the connection's read buffer alive.
+        RequestLabel(id.filter(|id| is_valid_id(id)).map(Into::into))
     }
 }
 
 impl fmt::Display for RequestLabel {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let id = self.0.as_ref().and_then(|value| value.to_str().ok()).map(str::trim);
-        match id.filter(|id| is_valid_id(id)) {
+        match &self.0 {
             Some(id) => write!(f, "request {id}"),
             None => f.write_str("request"),
         }
--- a/src/net/upstream/connection.rs
+++ b/src/net/upstream/connection.rs
@@ -1,6 +1,7 @@
 //! An HTTP/1.1 connection to a worker. It carries one request at a time.
 
 use crate::interface::WorkerId;
+use crate::net::buffer_limit::BufferLimit;
 use crate::net::failure::{ConnectFailure, classify_connect_error};
 use crate::net::upstream::write_progress::{
     MonitoredStream, WriteGuard, WriteProgress, has_no_pending_input,
@@ -22,8 +23,6 @@
 /// A reused connection that fails within this time after a request was sent was stale: the failure is not
 /// caused by the processing of the request.
 const STALE_RESET_WINDOW: Duration = Duration::from_millis(100);
-/// The maximum size of hyper's read buffer, which holds a response head or part of a body.
-const READ_BUFFER_BYTES: usize = 64 * 1024;
 
 /// Why there is no connection.
 #[derive(Debug, thiserror::Error)]
@@ -97,13 +96,14 @@
         worker: WorkerId,
         stream: TcpStream,
         permit: OwnedSemaphorePermit,
+        buffer_limit: BufferLimit,
     ) -> Result<Connection, ConnectError> {
         stream.set_nodelay(true)?;
         let (stream, progress) = (Rc::new(stream), Rc::new(WriteProgress::default()));
         let io = TokioIo::new(MonitoredStream::with_monitor(stream.clone(), progress.clone()));
         let mut builder = http1::Builder::new();
         // An invalid header, such as a load report, must not fail an otherwise valid response.
-        builder.max_buf_size(READ_BUFFER_BYTES).ignore_invalid_headers_in_responses(true);
+        builder.max_buf_size(buffer_limit.bytes()).ignore_invalid_headers_in_responses(true);
         let (sender, connection) = builder.handshake(io).await?;
         let connection_task = tokio::task::spawn_local(async move {
             if let Err(error) = connection.await {
--- a/src/net/upstream/pool.rs
+++ b/src/net/upstream/pool.rs
@@ -4,6 +4,7 @@
 
 use crate::interface::WorkerId;
 use crate::net::LocalBoxFuture;
+use crate::net::buffer_limit::BufferLimit;
 use crate::net::socket::connect;
 use crate::runtime::counters::Counters;
 use std::cell::{Cell, RefCell};
@@ -49,6 +50,8 @@
     pub idle_timeout: Duration,
     /// The minimum idle time before a connection is reused, see [`REUSE_DELAY`].
     pub reuse_delay: Duration,
+    /// The limit of the buffers of each connection.
+    pub buffer_limit: BufferLimit,
 }
 
 /// A connection pool, as a tower service that makes a [`Connection`] for a [`Target`]. Clones share the same
@@ -198,7 +201,7 @@
         let deadline = Instant::now() + self.shared.limits.connect_timeout;
         let connected = tokio::time::timeout_at(deadline, connect(target.address, deadline)).await;
         let stream = connected.map_err(|_| ConnectError::TimedOut)??;
-        Connection::handshake(target.worker, stream, permit).await
+        Connection::handshake(target.worker, stream, permit, self.shared.limits.buffer_limit).await
     }
 }
 
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -4,6 +4,7 @@
 //! all components and connects them.
 
 mod error;
+mod memory;
 mod reload;
 mod router;
 mod shutdown;
--- a/src/process/router.rs
+++ b/src/process/router.rs
@@ -1,6 +1,7 @@
 //! The composition root of a router: creates its components and connects them.
 
 use super::StartError;
+use super::memory::MemoryDivision;
 use super::shutdown::GracefulShutdown;
 use super::sockets::SocketBudget;
 use crate::config::Config;
@@ -33,9 +34,6 @@
 /// How long opening the listening socket is retried while the system lacks resources for it.
 const LISTEN_TIMEOUT: Duration = Duration::from_secs(4);
 
-const BYTES_PER_MEGABYTE: usize = 1024 * 1024;
-/// Request bodies may use the configured memory limit divided by this.
-const BODY_MEMORY_DIVISOR: usize = 3;
 /// Idle connections stay in the pool for the idle timeout of the workers divided by this, so that no request
 /// is written to a connection that its worker is closing.
 const IDLE_TIMEOUT_DIVISOR: u32 = 3;
@@ -78,7 +76,7 @@
 
         let is_stopping = Rc::new(Cell::new(false));
         let service = Rc::new(components.service_context(config, is_stopping.clone()));
-        let jsonrpc = components.jsonrpc_service(config, &service);
+        let jsonrpc = components.jsonrpc_service(config, sockets, &service);
         let handler = RequestService { context: service, jsonrpc: jsonrpc.clone() };
         let shutdown = components.start_server(sockets, socket, handler, is_stopping);
         log::info!(
@@ -132,6 +130,7 @@
             connect_timeout,
             idle_timeout: config.idle_connection_timeout / IDLE_TIMEOUT_DIVISOR,
             reuse_delay: REUSE_DELAY,
+            buffer_limit: sockets.buffer_limit,
         };
         SharedComponents {
             connect_timeout,
@@ -174,16 +173,20 @@
             request_classes: config.settings.classes.iter().map(|class| class.name.clone()).collect(),
             is_ready: Box::new(move || !is_stopping.get() && directory.can_serve(&worker_kinds)),
             counters: self.counters.clone(),
-            body_memory: MemoryBudget::new(
-                config.limits.memory_mb * BYTES_PER_MEGABYTE / BODY_MEMORY_DIVISOR,
-            ),
+            request_memory: MemoryBudget::new(MemoryDivision::of(&config.limits).requests),
             active_ids: Rc::default(),
         }
     }
 
-    fn jsonrpc_service(&self, config: &Config, service: &Rc<ServiceContext>) -> Option<Rc<JsonRpcService>> {
+    fn jsonrpc_service(
+        &self,
+        config: &Config,
+        sockets: SocketBudget,
+        service: &Rc<ServiceContext>,
+    ) -> Option<Rc<JsonRpcService>> {
         let settings = config.tools.clone()?;
-        Some(JsonRpcService::new(service.clone(), settings, self.connect_timeout, config.seed))
+        let (connect_timeout, buffer_limit) = (self.connect_timeout, sockets.buffer_limit);
+        Some(JsonRpcService::new(service.clone(), settings, connect_timeout, buffer_limit, config.seed))
     }
 
     /// Starts the server, which accepts connections from now on.
@@ -202,6 +205,7 @@
             handler,
             max_connections,
             max_waiting_requests: max_connections,
+            buffer_limit: sockets.buffer_limit,
             shutdown: phase,
             connections: connections.clone(),
             counters: self.counters.clone(),
--- a/src/process/sockets.rs
+++ b/src/process/sockets.rs
@@ -1,7 +1,9 @@
 //! Division of the process's file descriptors.
 
 use super::StartError;
+use super::memory::MemoryDivision;
 use crate::config::Config;
+use crate::net::buffer_limit::BufferLimit;
 
 /// File descriptors that are reserved for other uses than connections to clients and workers: the listener,
 /// discovery, the log.
@@ -19,20 +21,27 @@
     pub upstream: usize,
     /// Connections to clients, including those that are accepted only to be rejected for lack of capacity.
     pub clients: usize,
+    /// The limit of the buffers of each connection, with which those of all connections fit into the memory.
+    pub buffer_limit: BufferLimit,
 }
 
 impl SocketBudget {
-    /// Divides the configured number of descriptors.
+    /// Divides the configured number of descriptors, or the number of connections whose buffers fit into the
+    /// memory limit if that is smaller.
     ///
     /// # Errors
     /// Too few remain for connections to workers.
     pub fn divide(config: &Config) -> Result<Self, StartError> {
+        let memory = MemoryDivision::of(&config.limits);
+        let connections =
+            config.limits.sockets.saturating_sub(RESERVED_DESCRIPTORS).min(memory.max_connections());
         let tool_calls = config.tools.as_ref().map_or(0, |tools| tools.max_concurrent_calls);
-        let sockets = config.limits.sockets.saturating_sub(RESERVED_DESCRIPTORS + tool_calls);
+        let sockets = connections.saturating_sub(tool_calls);
         let upstream = sockets * UPSTREAM_TWENTIETHS / 20;
         if upstream < MIN_UPSTREAM_SOCKETS {
             return Err(StartError::TooFewSockets { sockets: config.limits.sockets });
         }
-        Ok(SocketBudget { upstream, clients: sockets - upstream })
+        let buffer_limit = memory.buffer_limit(connections);
+        Ok(SocketBudget { upstream, clients: sockets - upstream, buffer_limit })
     }
 }
--- a/tests/attempts/harness.rs
+++ b/tests/attempts/harness.rs
@@ -2,6 +2,7 @@
 
 use crate::support::{Message, Peer, PeerConnection};
 use llm_router::interface::*;
+use llm_router::net::buffer_limit::BufferLimit;
 use llm_router::net::discovery::{AddressedEndpoint, Directory, EndpointUpdate};
 use llm_router::net::upstream::client::UpstreamClient;
 use llm_router::net::upstream::pool::{Pool, PoolLimits};
@@ -52,6 +53,7 @@
             connect_timeout: timeout,
             idle_timeout: 2 * timeout,
             reuse_delay: timeout,
+            buffer_limit: BufferLimit::MAX,
         };
         let client = UpstreamClient {
             directory,
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -136,7 +136,9 @@
     run_local(async {
         // The memory budget leaves no room to read the next request ahead.
         let mut server =
-            Server::bind_with(ServerOptions { body_memory: 16, ..ServerOptions::default() }).await.run();
+            Server::bind_with(ServerOptions { request_memory: 2_048, ..ServerOptions::default() })
+                .await
+                .run();
         let mut client = into_blocking(server.connect().await);
         client.write_all(request("id-1", "send", "hello").as_bytes()).unwrap();
         let submitted = server.next_request().await;
--- /dev/null
+++ b/tests/memory.rs
@@ -0,0 +1,107 @@
+//! The memory of a router process, held against its configured limit.
+
+mod support;
+
+use rstest::rstest;
+use std::io::{BufReader, Read, Write};
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+use support::*;
+
+/// The least memory limit of the platform.
+const MEMORY_MB: u64 = 32;
+const KILOBYTES_PER_MEGABYTE: u64 = 1024;
+/// More clients than a router with the platform's most descriptors has connections for.
+const CLIENTS: usize = 560;
+/// How long the memory is observed: longer than the router waits for the rest of a request.
+const OBSERVATION: Duration = Duration::from_millis(2_600);
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(5);
+const HEAD: &str = "POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\nx-class: send\r\nx-deadline: 5000m\r\n";
+
+/// Starts a router with the least memory and the most descriptors of the platform.
+fn start_router(prefill_worker: &Peer, decode_worker: &Peer) -> RouterProcess {
+    let limits = format!("limits = {{ sockets = {MAX_DESCRIPTORS}, memory_mb = {MEMORY_MB} }}");
+    RouterProcess::start(&operator_file(&[prefill_worker.address], &[decode_worker.address], &limits))
+}
+
+/// The most private memory that a router uses during the observation, in kB.
+fn peak_memory_kb(router: &RouterProcess) -> u64 {
+    let end = Instant::now() + OBSERVATION;
+    let mut peak = 0;
+    while Instant::now() < end {
+        peak = peak.max(router.private_memory_kb());
+        std::thread::sleep(SAMPLE_INTERVAL);
+    }
+    peak
+}
+
+/// The start of a request with a body of `length` bytes, of which `sent` bytes follow.
+fn part_of_a_body(client: usize, framing: &str, sent: usize) -> Vec<u8> {
+    let mut bytes = format!("{HEAD}x-request-id: bad-{client}\r\n{framing}\r\n\r\n").into_bytes();
+    bytes.resize(bytes.len() + sent, b'x');
+    bytes
+}
+
+fn half_a_body(client: usize) -> Vec<u8> {
+    part_of_a_body(client, "content-length: 60000", 33_000)
+}
+
+fn a_tenth_of_a_body(client: usize) -> Vec<u8> {
+    part_of_a_body(client, "content-length: 200000", 20_000)
+}
+
+fn part_of_a_chunk(client: usize) -> Vec<u8> {
+    part_of_a_body(client, "transfer-encoding: chunked\r\n\r\n3ffff", 33_000)
+}
+
+fn half_a_line_of_a_head(_: usize) -> Vec<u8> {
+    format!("{HEAD}x-long: {}", "a".repeat(60_000)).into_bytes()
+}
+
+fn a_long_head_and_half_a_body(client: usize) -> Vec<u8> {
+    let fields = format!("x-long: {}\r\ncontent-length: 900", "a".repeat(7_000));
+    part_of_a_body(client, &fields, 450)
+}
+
+fn many_fields_and_half_a_body(client: usize) -> Vec<u8> {
+    let fields = format!("{}content-length: 900", "a: b\r\n".repeat(90));
+    part_of_a_body(client, &fields, 450)
+}
+
+/// Guards against hundreds of clients that take the router over its memory limit with incomplete requests:
+/// the platform would kill it, and the streams of all other clients would be lost.
+#[rstest]
+#[case::half_a_body(half_a_body)]
+#[case::a_tenth_of_a_body(a_tenth_of_a_body)]
+#[case::part_of_a_chunk(part_of_a_chunk)]
+#[case::half_a_line_of_a_head(half_a_line_of_a_head)]
+#[case::a_long_head_and_half_a_body(a_long_head_and_half_a_body)]
+#[case::many_fields_and_half_a_body(many_fields_and_half_a_body)]
+fn incomplete_requests_stay_within_the_memory_limit(#[case] incomplete_request: fn(usize) -> Vec<u8>) {
+    let (prefill_worker, decode_worker) = (Peer::prefill_worker(), GatedDecodeWorker::start());
+    let router = start_router(&prefill_worker, &decode_worker.peer);
+    let mut other_client = BufReader::new(router.connect());
+    other_client.get_mut().write_all(request("id-1", "send", "hello").as_bytes()).unwrap();
+    decode_worker.wait_for_stream();
+    let connect_and_send = |client| {
+        let mut stream = router.connect();
+        // A connection that the router has closed already is no fault of this test.
+        let _ = stream.write_all(&incomplete_request(client));
+        stream
+    };
+    let clients: Vec<TcpStream> = (0..CLIENTS).map(connect_and_send).collect();
+    let peak = peak_memory_kb(&router);
+    assert!(peak <= MEMORY_MB * KILOBYTES_PER_MEGABYTE, "{peak} kB of {MEMORY_MB} MB");
+    for mut client in clients {
+        let mut response = Vec::new();
+        let _ = client.read_to_end(&mut response);
+        let response = String::from_utf8_lossy(&response);
+        assert!(
+            response.is_empty() || response.starts_with("HTTP/1.1 4") || response.starts_with("HTTP/1.1 503"),
+            "{response}"
+        );
+    }
+    decode_worker.open_gate();
+    let response = Message::read(&mut other_client).unwrap();
+    assert_eq!((response.status(), response.is_complete), (200, true));
+}
--- a/tests/support/router_process.rs
+++ b/tests/support/router_process.rs
@@ -95,6 +95,13 @@
         self.child.id()
     }
 
+    /// The private memory of the process in kB, without the pages of its program file.
+    pub fn private_memory_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:")).unwrap();
+        line.trim().trim_end_matches(" kB").parse().unwrap()
+    }
+
     /// The CPU time that its threads have used.
     pub fn cpu_time(&self) -> Duration {
         let threads = std::fs::read_dir(format!("/proc/{}/task", self.child.id())).unwrap();
--- a/tests/support/server.rs
+++ b/tests/support/server.rs
@@ -5,6 +5,7 @@
 use llm_router::frontend::context::ServiceContext;
 use llm_router::frontend::service::RequestService;
 use llm_router::interface::{RequestId, RequestSpec};
+use llm_router::net::buffer_limit::BufferLimit;
 use llm_router::net::server::accept::Listener;
 use llm_router::net::server::connections::Connections;
 use llm_router::net::server::memory_budget::MemoryBudget;
@@ -28,13 +29,13 @@
 pub struct ServerOptions {
     /// The maximum number of client connections.
     pub max_connections: usize,
-    /// The memory budget of request bodies, in bytes.
-    pub body_memory: usize,
+    /// The memory budget of requests, in bytes.
+    pub request_memory: usize,
 }
 
 impl Default for ServerOptions {
     fn default() -> Self {
-        ServerOptions { max_connections: 64, body_memory: 1 << 20 }
+        ServerOptions { max_connections: 64, request_memory: 1 << 20 }
     }
 }
 
@@ -60,7 +61,7 @@
             request_classes: vec!["explain".into(), "send".into()],
             is_ready: Box::new(|| true),
             counters: counters.clone(),
-            body_memory: MemoryBudget::new(options.body_memory),
+            request_memory: MemoryBudget::new(options.request_memory),
             active_ids: Rc::default(),
         };
         let (shutdown, phases) = watch::channel(ShutdownPhase::Serving);
@@ -69,6 +70,7 @@
             handler: RequestService { context: Rc::new(context), jsonrpc: None },
             max_connections: options.max_connections,
             max_waiting_requests: 64,
+            buffer_limit: BufferLimit::MAX,
             shutdown: phases,
             connections: connections.clone(),
             counters,
