Take an event stream for complete only if it ends with its end marker

Cause: StreamRelay::is_complete took every body that its framing delimits for a complete stream. A chunk of size 0 ends a body wherever it stands; hyper reads the rest of the stream as trailers and reports a proper end at the worker's last chunk. The end marker was looked for only in bodies that end with their connection.

Evidence: the new cases of tests/streams.rs. What follows the 0 decides: lines that have the form of fields ended the stream as complete, a rest that has not broke it before as well, by hyper's parsing of trailers. So the end of the body was believed; no event was lost in the relay.

Change: an event stream is complete if its last field is data: [DONE], on a line of its own. Other bodies are complete by their framing, as before. An event that the end of the body cuts is no longer forwarded. Why it works: a body that ends early, in whatever form, lacks the marker, and the client's connection then ends without the last chunk.

Regression test: a_worker_sends_a_corrupted_stream, six forms for two classes.

--- a/src/net/upstream/event_stream.rs
+++ b/src/net/upstream/event_stream.rs
@@ -5,6 +5,7 @@
 //! line that is not valid in an event, and the block with that line is not forwarded. Forwarded bytes are not
 //! changed.
 
+use crate::net::upstream::stream_tail::ends_with_end_marker;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -21,6 +22,9 @@
     /// A line is not valid in an event.
     #[error("invalid line in the event stream")]
     InvalidLine,
+    /// The body ended within an event.
+    #[error("the stream ended within an event")]
+    Truncated,
     /// An event, or the comments before the first event, exceed [`MAX_EVENT_BYTES`].
     #[error("event is longer than {MAX_EVENT_BYTES} bytes")]
     EventTooLong,
@@ -75,7 +79,8 @@
     /// Cancel safe: no data is lost if the future is dropped.
     ///
     /// # Errors
-    /// The body could not be read, a line is not valid in an event, or an event is too long.
+    /// The body could not be read, a line is not valid in an event, an event is too long, or the stream ended
+    /// within one.
     pub async fn next_part(&mut self) -> Result<Option<StreamPart>, EventStreamError> {
         while let Some(frame) = self.body.frame().await {
             let Ok(data) = frame?.into_data() else { continue };
@@ -87,9 +92,20 @@
                 return Ok(Some(part));
             }
         }
-        // The last event may lack its terminating blank line.
-        let bytes = self.validator.finish()?;
-        Ok(Some(StreamPart { bytes, has_event: true }).filter(|part| !part.bytes.is_empty()))
+        // Only the end marker may lack its terminating blank line: any other event is cut.
+        let rest = self.validator.finish()?;
+        if rest.is_empty() {
+            Ok(None)
+        } else if ends_with_end_marker(&rest) {
+            Ok(Some(StreamPart { bytes: rest, has_event: true }))
+        } else {
+            Err(EventStreamError::Truncated)
+        }
+    }
+
+    /// Whether the body is validated as an event stream.
+    pub fn is_validated(&self) -> bool {
+        self.validation == EventValidation::Enforced
     }
 }
 
--- a/src/net/upstream/stream.rs
+++ b/src/net/upstream/stream.rs
@@ -29,8 +29,9 @@
     /// The connection failed, or the body contains something other than events.
     #[error("{0}")]
     Corrupted(#[from] EventStreamError),
-    /// The connection closed before the end of the stream.
-    #[error("connection closed before the end of the stream")]
+    /// The body ended without the end marker of an event stream, or the connection closed before the end of
+    /// another body.
+    #[error("ended before its end marker")]
     Truncated,
 }
 
@@ -142,9 +143,10 @@
         }
     }
 
-    /// Whether a stream that has ended is complete.
+    /// Whether a stream that has ended is complete. Event streams have an end marker, and the end of the body
+    /// is not enough: a chunk of size 0 in the middle of a stream ends the body, too.
     fn is_complete(&self) -> bool {
-        self.is_self_delimited || self.tail.ends_with_done()
+        self.tail.ends_with_end_marker() || self.is_self_delimited && !self.events.is_validated()
     }
 
     /// Counts and logs a broken stream. Returns the attempt's outcome.
--- a/src/net/upstream/stream_tail.rs
+++ b/src/net/upstream/stream_tail.rs
@@ -21,6 +21,13 @@
     cached_tokens: f64,
 }
 
+/// Whether the last line that is neither blank nor a comment is the end marker of a stream.
+pub(super) fn ends_with_end_marker(stream: &[u8]) -> bool {
+    let mut lines = stream.rsplit(|byte| *byte == b'\n').map(<[u8]>::trim_ascii_end);
+    let last_field = lines.find(|line| !line.is_empty() && !line.starts_with(b":")).unwrap_or_default();
+    last_field.strip_prefix(b"data:").is_some_and(|data| data.trim_ascii_start() == b"[DONE]")
+}
+
 /// The last [`TAIL_BYTES`] of a stream.
 pub(super) struct StreamTail(Vec<u8>);
 
@@ -41,8 +48,8 @@
     }
 
     /// Whether the stream ends with its end marker.
-    pub fn ends_with_done(&self) -> bool {
-        self.0.trim_ascii_end().ends_with(b"data: [DONE]")
+    pub fn ends_with_end_marker(&self) -> bool {
+        ends_with_end_marker(&self.0)
     }
 
     /// The number of cached prompt tokens in the last usage report; 0 without a report.
--- a/tests/streams.rs
+++ b/tests/streams.rs
@@ -47,9 +47,12 @@
 
 const HEAD: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
 
+/// The end of a complete stream.
+const END: &str = "e\r\ndata: [DONE]\n\n\r\n0\r\n\r\n";
+
 /// Guards against invalid data in place of a stream, on a connection that the worker keeps open. Before the
 /// first event, a non-idempotent request must not be retried. After it, the client must neither wait
-/// indefinitely nor receive data that is not an event.
+/// indefinitely nor receive data that is not an event, nor take a stream that is cut for a complete one.
 #[rstest]
 #[case::not_http("\u{1}\u{2}\u{3} nothing like HTTP\r\n\r\n", false)]
 #[case::invalid_response_head("HTTP/1.1 2x0 OK\r\n\r\n", false)]
@@ -58,6 +61,16 @@
 #[case::invalid_chunk_size("{HEAD}b\r\ndata: one\n\n\r\nzz\r\n", true)]
 #[case::chunk_size_too_small("{HEAD}b\r\ndata: one\n\n\r\n3\r\ndata: two\n\n\r\n", true)]
 #[case::chunk_size_too_large("{HEAD}b\r\ndata: one\n\n\r\n40\r\ndata: two\n\n\r\nb\r\ndata: x\n\n\r\n", true)]
+// In place of its length, a chunk has the size 0, which ends the body: the rest of the stream follows.
+#[case::chunk_of_size_zero("{HEAD}b\r\ndata: one\n\n\r\n0\r\ndata: two\n\n\r\n{END}", true)]
+#[case::chunk_of_size_00("{HEAD}b\r\ndata: one\n\n\r\n00;a=b\r\ndata: two\n\n\r\n{END}", true)]
+#[case::chunk_of_size_zero_in_an_event(
+    "{HEAD}b\r\ndata: one\n\n\r\na\r\ndata: two\n\r\n0\r\nevent: x\n\n\r\n{END}",
+    true
+)]
+#[case::end_marker_of_size_zero("{HEAD}b\r\ndata: one\n\n\r\n0\r\ndata: [DONE]\n\n\r\n0\r\n\r\n", true)]
+#[case::last_chunk_without_end_marker("{HEAD}b\r\ndata: one\n\n\r\n0\r\n\r\n", true)]
+#[case::first_chunk_of_size_zero("{HEAD}0\r\ndata: one\n\n\r\n{END}", false)]
 #[case::chunk_of_three_gigabytes("{HEAD}b\r\ndata: one\n\n\r\nb2d05e00\r\n{MORE}", true)]
 fn a_worker_sends_a_corrupted_stream(
     #[case] worker_response: &str,
@@ -65,7 +78,7 @@
     #[values("send", "explain")] class: &str,
 ) {
     let (report_closed, closed) = shared_channel();
-    let worker_response = worker_response.replace("{HEAD}", HEAD);
+    let worker_response = worker_response.replace("{HEAD}", HEAD).replace("{END}", END);
     // `{MORE}` stands for endless data.
     let is_endless = worker_response.contains("{MORE}");
     let attempts = AtomicU32::new(0);
