Retry a keyed request first at the worker that has just responded

Cause, second part: a decode is retried at untried workers first, over a path of which nobody knows whether it works.

Change: a keyed decode that was answered with an error is retried at the worker that has answered, if it is eligible; if it fails there again, at another one. Why it works: that path has just carried an answer, so the retry arrives at once, and that worker is sure to know the key.

--- a/src/policy/decode_choice.rs
+++ b/src/policy/decode_choice.rs
@@ -5,6 +5,7 @@
 use super::eligibility::eligible_workers;
 use super::load_estimator::LoadEstimator;
 use super::request::Request;
+use super::retry;
 use super::worker::{Distance, Worker};
 use crate::hashing::unit_interval;
 use crate::interface::{RequestId, Role, WorkerId};
@@ -39,14 +40,19 @@
 }
 
 impl<'a> DecodeChooser<'a> {
-    /// Creates a chooser over the eligible decode and unified workers. Workers that were already sent this
+    /// Creates a chooser over the eligible decode and unified workers. A keyed request is retried at the
+    /// worker that has just responded, if that is eligible. Otherwise workers that were already sent this
     /// request for decoding are excluded if others are eligible.
     pub fn new(context: DecisionContext<'a>, request: &Request) -> Self {
         let id = request.spec.request;
         let mut eligible = eligible_workers(context, Role::Decode, request);
         eligible.extend(eligible_workers(context, Role::Unified, request));
+        let responsive_worker = retry::responsive_worker(context, request);
+        let is_responsive = |worker: &&Worker| Some(&worker.id) == responsive_worker;
         let is_untried = |worker: &&Worker| !request.has_decode_attempt_at(&worker.id);
-        if eligible.iter().any(is_untried) {
+        if eligible.iter().any(is_responsive) {
+            eligible.retain(is_responsive);
+        } else if eligible.iter().any(is_untried) {
             eligible.retain(is_untried);
         }
         let estimator = LoadEstimator::new(context);
--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -6,7 +6,7 @@
 use super::context::DecisionContext;
 use super::request::{Request, TrackedAttempt};
 use super::worker::Worker;
-use crate::interface::{DeduplicationScope, Idempotency, Micros, Outcome, Stage};
+use crate::interface::{DeduplicationScope, Idempotency, Micros, Outcome, Stage, WorkerId};
 use crate::rules::idempotency::{self, EarlierAttempt};
 
 /// Whether a request that may have run may be retried at this worker, even if connecting takes the whole
@@ -21,6 +21,20 @@
     context.membership.iter().any(|worker| may_retry_at(context, request, worker))
 }
 
+/// The worker that has just responded with an error to a keyed request; `None` if it has done so before.
+///
+/// It is the first choice for the retry: its path works at this moment, while a retry to another worker may
+/// be held up on its way and arrive after the deduplication window.
+pub(super) fn responsive_worker<'a>(
+    context: DecisionContext<'_>,
+    request: &'a Request,
+) -> Option<&'a WorkerId> {
+    let is_keyed = matches!(context.class(request).idempotency, Idempotency::Keyed(_));
+    let mut decodes = request.attempts().iter().rev().filter(|attempt| attempt.stage == Stage::Decode);
+    let last = decodes.next().filter(|last| is_keyed && last.outcome == Some(Outcome::WorkerError))?;
+    decodes.all(|earlier| earlier.worker != last.worker).then_some(&last.worker)
+}
+
 /// The time before which a retry has to arrive at this worker; `None`: the request may not be retried there.
 pub(super) fn retry_deadline(
     context: DecisionContext<'_>,
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -105,6 +105,23 @@
     assert!(has_failed(&late, 1));
 }
 
+/// Guards against a keyed request that runs twice: its retry goes to the worker that has just responded, since
+/// at another worker it may arrive after the window. If that worker fails again, another one is tried.
+#[test]
+fn a_keyed_request_is_retried_first_at_the_worker_that_has_responded() {
+    let mut settings = settings();
+    settings.classes.push(class("keyed", Idempotency::Keyed(DeduplicationScope::All)));
+    for id in 0..20 {
+        let mut harness = PolicyHarness::fleet(settings.clone());
+        harness.request(id, "keyed");
+        let mut end_attempt =
+            |attempt, outcome| send_targets(&harness.end_attempt(id, attempt, outcome))[0].to_owned();
+        let first = end_attempt(0, Outcome::PrefillCompleted);
+        assert_eq!(end_attempt(1, Outcome::WorkerError), first);
+        assert_ne!(end_attempt(2, Outcome::WorkerError), first);
+    }
+}
+
 #[test]
 fn nothing_is_sent_to_draining_or_removed_workers() {
     let mut harness = PolicyHarness::fleet(settings());
