--- a/tests/attempts/cancellation.rs
+++ b/tests/attempts/cancellation.rs
@@ -4,7 +4,6 @@
 use crate::harness::*;
 use crate::unreachable_workers::{FullListener, SlowWorker};
 use llm_router::interface::{Micros, Outcome, WorkerId};
-use llm_router::runtime::exchange::ForwardedRequest;
 use llm_router::runtime::{Outbound, ReleaseProgress};
 use rstest::rstest;
 use std::cell::Cell;
@@ -25,9 +24,7 @@
     run_local(async {
         let worker = SlowWorker::start();
         let mut upstream = UpstreamHarness::start(&[(WORKER, worker.listener.local_addr().unwrap())], 4);
-        let mut attempt = upstream.attempt(WORKER, "id-1");
-        attempt.forwarded =
-            Rc::new(ForwardedRequest { body: worker.body.clone(), ..forwarded_request("id-1") });
+        let mut attempt = worker.attempt(&mut upstream);
         attempt.deadline = upstream.now() + timeout.unwrap_or(10 * SECOND);
         let write_started = attempt.write_started.clone();
         upstream.client.send(attempt);
@@ -41,9 +38,7 @@
             upstream.cancel = None;
         }
         assert_eq!(upstream.next_outcome().await, expected);
-        while upstream.client.pool.available_connections() < 4 {
-            tokio::task::yield_now().await;
-        }
+        upstream.wait_until_all_closed(4).await;
         let received = worker.receive();
         assert!(received < worker.body.len(), "the worker received {received} bytes");
     })
--- a/tests/attempts/deduplication.rs
+++ b/tests/attempts/deduplication.rs
@@ -3,9 +3,7 @@
 use crate::harness::*;
 use crate::unreachable_workers::{FullListener, SlowWorker};
 use llm_router::interface::{Micros, Outcome};
-use llm_router::runtime::exchange::ForwardedRequest;
 use std::io::Write;
-use std::rc::Rc;
 use std::time::Duration;
 
 /// The time until the end of the deduplication window.
@@ -18,16 +16,12 @@
     run_local(async {
         let worker = SlowWorker::start();
         let mut upstream = UpstreamHarness::start(&[(WORKER, worker.listener.local_addr().unwrap())], 4);
-        let mut attempt = upstream.attempt(WORKER, "id-1");
-        attempt.forwarded =
-            Rc::new(ForwardedRequest { body: worker.body.clone(), ..forwarded_request("id-1") });
+        let mut attempt = worker.attempt(&mut upstream);
         let window_end = upstream.now() + WINDOW_REST;
         attempt.deduplication_deadline = Some(window_end);
         assert_eq!(upstream.outcome_of(attempt).await, Outcome::Cancelled);
         assert!(upstream.now() >= window_end, "abandoned too early");
-        while upstream.client.pool.available_connections() < 4 {
-            tokio::task::yield_now().await;
-        }
+        upstream.wait_until_all_closed(4).await;
         let received = worker.receive();
         assert!(received < worker.body.len(), "the worker received {received} bytes");
     })
@@ -77,8 +71,7 @@
         let mut attempt = upstream.attempt(WORKER, "id-1");
         attempt.deduplication_deadline = Some(upstream.now() + WINDOW_REST);
         assert_eq!(upstream.outcome_of(attempt).await, Outcome::PrefillCompleted);
-        let message = received.recv().unwrap();
-        let remaining: Micros = message.header("x-deadline").unwrap().trim_end_matches('u').parse().unwrap();
+        let remaining = stated_remaining_time(&received.recv().unwrap());
         assert!(remaining <= WINDOW_REST, "{remaining} us of {WINDOW_REST}");
     })
     .await;
--- a/tests/attempts/harness.rs
+++ b/tests/attempts/harness.rs
@@ -95,6 +95,13 @@
         self.next_outcome().await
     }
 
+    /// Waits until all connections are closed. `max_connections` is the size of the pool.
+    pub async fn wait_until_all_closed(&self, max_connections: usize) {
+        while self.client.pool.available_connections() < max_connections {
+            tokio::task::yield_now().await;
+        }
+    }
+
     /// Waits for the outcome of the attempt in flight.
     pub async fn next_outcome(&mut self) -> Outcome {
         loop {
@@ -141,6 +148,11 @@
     (worker, received)
 }
 
+/// The time until the deadline that an attempt states.
+pub fn stated_remaining_time(message: &Message) -> Micros {
+    message.header("x-deadline").unwrap().trim_end_matches('u').parse().unwrap()
+}
+
 /// Answers a prefill request successfully.
 pub fn complete_prefill(_: &Message, conn: &mut PeerConnection) -> bool {
     conn.respond("202 Accepted", "", "{}");
--- a/tests/attempts/unreachable_workers.rs
+++ b/tests/attempts/unreachable_workers.rs
@@ -1,9 +1,13 @@
 //! Workers that requests do not reach.
 
+use crate::harness::*;
 use bytes::Bytes;
+use llm_router::runtime::Attempt;
+use llm_router::runtime::exchange::ForwardedRequest;
 use socket2::{Domain, SockRef, Socket, Type};
 use std::io::Read;
 use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
 
 /// A worker with a small receive buffer that does not read.
 pub struct SlowWorker {
@@ -21,6 +25,12 @@
         SlowWorker { listener: socket.into(), body: vec![b'x'; 256 * 1024].into() }
     }
 
+    /// Creates an attempt with the large body.
+    pub fn attempt(&self, upstream: &mut UpstreamHarness) -> Attempt {
+        let forwarded = ForwardedRequest { body: self.body.clone(), ..forwarded_request("id-1") };
+        Attempt { forwarded: Rc::new(forwarded), ..upstream.attempt(WORKER, "id-1") }
+    }
+
     /// Reads up to the end of the connection and returns the number of bytes received.
     pub fn receive(&self) -> usize {
         let (mut connection, _) = self.listener.accept().unwrap();
--- a/tests/attempts/write_guard.rs
+++ b/tests/attempts/write_guard.rs
@@ -2,7 +2,7 @@
 
 use crate::harness::*;
 use crate::support::Peer;
-use llm_router::interface::{Micros, Outcome};
+use llm_router::interface::Outcome;
 use llm_router::runtime::exchange::{ClientConnection, ForwardedRequest, open_exchange};
 use llm_router::runtime::{Outbound, ReleaseProgress};
 use rstest::rstest;
@@ -131,8 +131,7 @@
         let (release, sent_at) = (Rc::<ReleaseProgress>::default(), upstream.now());
         attempt.pending_release = Some(release.clone());
         assert_eq!(upstream.outcome_of(attempt).await, Outcome::PrefillCompleted);
-        let message = received.recv().unwrap();
-        let remaining: Micros = message.header("x-deadline").unwrap().trim_end_matches('u').parse().unwrap();
+        let remaining = stated_remaining_time(&received.recv().unwrap());
         // The release is never acknowledged, so the attempt waits for the whole `RELEASE_WAIT_TIMEOUT`.
         assert!(remaining <= deadline - sent_at - 100_000, "{remaining} us of {}", deadline - sent_at);
     })
