Give an imported configuration the memory that its connections need

What callers would have seen: `import haproxy` of a file with maxconn 20000 wrote sockets = 40064 and left memory_mb at its default of 192. Since the memory limit bounds the number of connections, such a router would have had room for 6,144 of them, without a word.

Cause: the limits of an imported file were written before memory bounded the number of connections.

Change: the import writes the memory limit with which the connections fit, and no less than the default. A router whose memory limit allows fewer connections than its descriptors says so at its start, with the limit that would do. net::memory holds the division, as the import needs it too.

Regression test: the_memory_limit_has_room_for_the_imported_connections; it fails without the change to the import.

--- a/src/import/haproxy/operator_file.rs
+++ b/src/import/haproxy/operator_file.rs
@@ -8,13 +8,14 @@
 use super::roles::{Role, role_of_backend};
 use super::routes::{Backend, Routes};
 use crate::interface::Micros;
+use crate::net::memory::MemoryDivision;
 use serde::Serialize;
 use std::net::SocketAddr;
 
 /// File descriptors reserved for purposes other than connections.
-const RESERVED_SOCKETS: u64 = 64;
+const RESERVED_SOCKETS: usize = 64;
 /// Minimum file descriptor limit of the router.
-const MIN_SOCKETS: u64 = 256;
+const MIN_SOCKETS: usize = 256;
 /// The single zone, since an HAProxy configuration has no zones.
 const ZONE: &str = "here";
 /// The client timeout where HAProxy's configuration sets no `timeout server`.
@@ -110,13 +111,17 @@
 
 #[derive(Serialize)]
 struct Limits {
-    sockets: u64,
+    memory_mb: usize,
+    sockets: usize,
 }
 
 impl Limits {
     /// `maxconn` counts client connections, and each of them needs a connection to a server.
     fn for_connections(max_connections: u64) -> Self {
-        Limits { sockets: (2 * max_connections + RESERVED_SOCKETS).max(MIN_SOCKETS) }
+        let connections = usize::try_from(max_connections).unwrap_or(usize::MAX).saturating_mul(2);
+        let sockets = connections.saturating_add(RESERVED_SOCKETS).max(MIN_SOCKETS);
+        let default_memory_mb = crate::config::Limits::default().memory_mb;
+        Limits { memory_mb: MemoryDivision::min_memory_mb(sockets).max(default_memory_mb), sockets }
     }
 }
 
--- a/src/net/buffer_limit.rs
+++ b/src/net/buffer_limit.rs
@@ -20,7 +20,7 @@
     }
 
     /// The limit in bytes.
-    pub fn bytes(self) -> usize {
+    pub const fn bytes(self) -> usize {
         self.0
     }
 }
--- a/src/process/memory.rs
+++ b/src/net/memory.rs
@@ -1,9 +1,10 @@
 //! Division of the process's memory limit.
 
-use crate::config::Limits;
 use crate::net::buffer_limit::BufferLimit;
 
 const BYTES_PER_MEGABYTE: usize = 1024 * 1024;
+/// The size of all buffers of a connection if each is as small as possible.
+const MIN_CONNECTION_BYTES: usize = BufferLimit::BUFFERS_PER_CONNECTION * BufferLimit::MIN.bytes();
 /// The share of the memory limit for the buffers of all connections: one half.
 const CONNECTION_DIVISOR: usize = 2;
 /// The share of the memory limit for the heads and bodies of all requests: one third. The remaining sixth is
@@ -12,7 +13,7 @@
 
 /// The parts of the memory limit, in bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct MemoryDivision {
+pub struct MemoryDivision {
     /// For the heads and bodies of all requests in flight.
     pub requests: usize,
     /// For the buffers of all connections.
@@ -20,15 +21,21 @@
 }
 
 impl MemoryDivision {
-    /// Divides the configured memory limit.
-    pub fn of(limits: &Limits) -> Self {
-        let bytes = limits.memory_mb.saturating_mul(BYTES_PER_MEGABYTE);
+    /// Divides a memory limit.
+    pub fn of(memory_mb: usize) -> Self {
+        let bytes = memory_mb.saturating_mul(BYTES_PER_MEGABYTE);
         MemoryDivision { requests: bytes / REQUEST_DIVISOR, connections: bytes / CONNECTION_DIVISOR }
     }
 
+    /// The smallest memory limit, in megabytes, with which this many connections fit.
+    pub fn min_memory_mb(connections: usize) -> usize {
+        let bytes = connections.saturating_mul(MIN_CONNECTION_BYTES);
+        bytes.saturating_mul(CONNECTION_DIVISOR).div_ceil(BYTES_PER_MEGABYTE)
+    }
+
     /// The maximum number of connections whose smallest buffers fit.
     pub fn max_connections(self) -> usize {
-        self.connections / (BufferLimit::BUFFERS_PER_CONNECTION * BufferLimit::MIN.bytes())
+        self.connections / MIN_CONNECTION_BYTES
     }
 
     /// The buffer limit with which this many connections fit.
--- a/src/process/memory/tests.rs
+++ b/src/net/memory/tests.rs
@@ -11,8 +11,7 @@
 #[case::most_memory(192, 1_000)]
 #[case::more_descriptors_than_memory(32, 65_536)]
 fn all_parts_fit_into_the_memory_limit(#[case] memory_mb: usize, #[case] descriptors: usize) {
-    let limits = Limits { memory_mb, sockets: descriptors };
-    let memory = MemoryDivision::of(&limits);
+    let memory = MemoryDivision::of(memory_mb);
     let connections = descriptors.min(memory.max_connections());
     let buffers = BufferLimit::BUFFERS_PER_CONNECTION * memory.buffer_limit(connections).bytes();
     let least_rest = memory_mb * BYTES_PER_MEGABYTE / 8;
@@ -22,5 +21,15 @@
 /// The platform's limits allow all of its descriptors to be used.
 #[test]
 fn the_least_memory_has_buffers_for_all_descriptors_of_the_platform() {
-    assert!(MemoryDivision::of(&Limits { memory_mb: 32, sockets: 1_024 }).max_connections() >= 1_000);
+    assert!(MemoryDivision::of(32).max_connections() >= 1_000);
+}
+
+#[rstest]
+#[case::none(0)]
+#[case::few(1_064)]
+#[case::many(40_064)]
+fn the_smallest_memory_limit_has_room_for_its_connections(#[case] connections: usize) {
+    let memory_mb = MemoryDivision::min_memory_mb(connections);
+    assert!(MemoryDivision::of(memory_mb).max_connections() >= connections);
+    assert!(memory_mb == 0 || MemoryDivision::of(memory_mb - 1).max_connections() < connections);
 }
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -4,7 +4,6 @@
 //! all components and connects them.
 
 mod error;
-mod memory;
 mod reload;
 mod router;
 mod shutdown;
--- a/src/process/router.rs
+++ b/src/process/router.rs
@@ -1,7 +1,6 @@
 //! The composition root of a router: creates its components and connects them.
 
 use super::StartError;
-use super::memory::MemoryDivision;
 use super::shutdown::GracefulShutdown;
 use super::sockets::SocketBudget;
 use crate::config::Config;
@@ -10,6 +9,7 @@
 use crate::frontend::service::RequestService;
 use crate::interface::UpdateKind;
 use crate::net::discovery::{Backoff, Directory, EndpointWatcher, tcp_connector};
+use crate::net::memory::MemoryDivision;
 use crate::net::server::accept::{Listener, RESERVED_CONNECTIONS};
 use crate::net::server::connections::Connections;
 use crate::net::server::memory_budget::MemoryBudget;
@@ -173,7 +173,7 @@
             request_classes: config.settings.classes.iter().map(|class| class.name.clone()).collect(),
             is_ready: Box::new(move || !is_stopping.get() && directory.can_serve(&worker_kinds)),
             counters: self.counters.clone(),
-            request_memory: MemoryBudget::new(MemoryDivision::of(&config.limits).requests),
+            request_memory: MemoryBudget::new(MemoryDivision::of(config.limits.memory_mb).requests),
             active_ids: Rc::default(),
         }
     }
--- a/src/process/sockets.rs
+++ b/src/process/sockets.rs
@@ -1,9 +1,9 @@
 //! Division of the process's file descriptors.
 
 use super::StartError;
-use super::memory::MemoryDivision;
 use crate::config::Config;
 use crate::net::buffer_limit::BufferLimit;
+use crate::net::memory::MemoryDivision;
 
 /// File descriptors that are reserved for other uses than connections to clients and workers: the listener,
 /// discovery, the log.
@@ -32,9 +32,17 @@
     /// # Errors
     /// Too few remain for connections to workers.
     pub fn divide(config: &Config) -> Result<Self, StartError> {
-        let memory = MemoryDivision::of(&config.limits);
-        let connections =
-            config.limits.sockets.saturating_sub(RESERVED_DESCRIPTORS).min(memory.max_connections());
+        let memory = MemoryDivision::of(config.limits.memory_mb);
+        let descriptors = config.limits.sockets.saturating_sub(RESERVED_DESCRIPTORS);
+        let connections = descriptors.min(memory.max_connections());
+        if connections < descriptors {
+            log::warn!(
+                "limits.memory_mb = {} has room for {connections} connections, fewer than limits.sockets allows; \
+                 {} would be needed",
+                config.limits.memory_mb,
+                MemoryDivision::min_memory_mb(descriptors)
+            );
+        }
         let tool_calls = config.tools.as_ref().map_or(0, |tools| tools.max_concurrent_calls);
         let sockets = connections.saturating_sub(tool_calls);
         let upstream = sockets * UPSTREAM_TWENTIETHS / 20;
--- a/tests/import.rs
+++ b/tests/import.rs
@@ -66,6 +66,14 @@
     assert!(response.status() == 200 && response.is_complete, "{response:?}");
 }
 
+/// Guards against a default memory limit that leaves an imported router fewer connections than it is to have.
+#[test]
+fn the_memory_limit_has_room_for_the_imported_connections() {
+    let text = "global\n  maxconn 20000\nlisten a\n  bind 127.0.0.1:1\n  server s 127.0.0.1:2\n";
+    let file = String::from_utf8(import(text).stdout).unwrap();
+    assert!(file.contains("memory_mb = 1252\nsockets = 40064\n"), "{file}");
+}
+
 #[rstest]
 #[case::directive_outside_a_section("maxconn 5\n", "line 1")]
 #[case::unterminated_quote("global\n  log \"x\n", "line 2")]
