Count a keyed retry whose window ends before its first byte as not sent

What was seen: an_attempt_is_checked_again_before_its_first_byte, case 4, failed once in a run of the whole suite: ConnectFailed in place of NotSent.

Cause: since keyed retries are abandoned at the end of their window, that end may come between the connect and the first write. Nothing was withheld by the write guard then, and as the request was not complete the attempt counted as a failed connect, which is held against its worker.

Change: without a first byte such an attempt is not sent, as if the write guard had withheld it, and is counted as withheld.

--- a/src/net/upstream/attempt.rs
+++ b/src/net/upstream/attempt.rs
@@ -150,7 +150,7 @@
                 return Err(effective_outcome(Outcome::TimedOut));
             }
         };
-        result.map_err(|error| match progress.withheld_outcome() {
+        result.map_err(|error| match progress.withheld_outcome().or(self.unsent_outcome(&error)) {
             Some(outcome) => {
                 self.client.counters.attempts_withheld.increment();
                 outcome
@@ -159,6 +159,12 @@
         })
     }
 
+    /// The outcome of an attempt whose deduplication window ended before its first byte was written.
+    fn unsent_outcome(&self, error: &ResponseError) -> Option<Outcome> {
+        let is_expired = matches!(error, ResponseError::DeduplicationWindowExpired);
+        (is_expired && !self.attempt.write_started.get()).then_some(Outcome::NotSent)
+    }
+
     /// Logs why there is no usable response, and reports a failed connection to the pool. Returns the
     /// attempt's outcome.
     fn record_failure(&self, connection: &Connection, error: &ResponseError) -> Outcome {
