--- a/review/lib-2/mod.rs
+++ b/review/lib-2/mod.rs
@@ -2,7 +2,7 @@
 //! and the record of what was sent, answered and run. Standard library only.
 #![allow(dead_code)]
 
-use std::collections::HashMap;
+use std::collections::HashSet;
 use std::fs;
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -32,17 +32,13 @@
     pub value: f64,
 }
 
-struct Hold {
-    worker: usize,
-}
-
 /// The test: its clock, record, parties and processes.
 pub struct World {
     started: Instant,
     pub trouble: bool,
     events: Mutex<Vec<Event>>,
-    /// The read states that wait at readers, by request id.
-    held: Mutex<HashMap<String, Hold>>,
+    /// The requests whose read states wait at readers.
+    held: Mutex<HashSet<String>>,
     children: Mutex<Vec<Child>>,
     folder: PathBuf,
     pub temp: PathBuf,
@@ -315,6 +311,9 @@
     streams: Mutex<Vec<TcpStream>>,
     ended: AtomicBool,
     running: AtomicU64,
+    /// Of a hundred streams, so many are followed by a second full answer, this many seconds after their end.
+    pub second_answers: Mutex<(u64, f64)>,
+    streams_ended: AtomicU64,
 }
 
 impl Nodo {
@@ -331,6 +330,8 @@
             streams: Mutex::default(),
             ended: AtomicBool::new(false),
             running: AtomicU64::new(0),
+            second_answers: Mutex::new((0, 0.0)),
+            streams_ended: AtomicU64::new(0),
         });
         let (served, world) = (nodo.clone(), world.clone());
         serve(listener, move |stream| {
@@ -372,7 +373,7 @@
     fn handle(&self, world: &Arc<World>, request: &Message, stream: &mut TcpStream) -> io::Result<()> {
         if request.method() == "DELETE" {
             let id = request.path().rsplit('/').next().unwrap_or("").to_owned();
-            let was_held = world.held.lock().unwrap().remove(&id).is_some();
+            let was_held = world.held.lock().unwrap().remove(&id);
             world.note_at(request.at, "release", &self.name, &id, &format!("held: {was_held}"), 0.0);
             return respond(stream, 204, "", "");
         }
@@ -392,19 +393,27 @@
                     world.note("read", &self.name, &id, "the conductor has given up: no state", 0.0);
                     return Err(io::ErrorKind::ConnectionReset.into());
                 }
-                world.held.lock().unwrap().insert(id.clone(), Hold { worker: self.index });
+                world.held.lock().unwrap().insert(id.clone());
                 world.note("read", &self.name, &id, "the state is held", 0.0);
                 respond(stream, 202, "content-type: application/json\r\n", r#"{"cached_tokens":0}"#)
             }
             Role::Writer => {
-                if world.held.lock().unwrap().remove(&id).is_none() {
+                if !world.held.lock().unwrap().remove(&id) {
                     world.note("miss", &self.name, &id, "no state to fetch", 0.0);
                     return respond(stream, 410, "x-not-run: 1\r\n", "");
                 }
                 let result = self.stream(world, request, &id, stream);
                 let detail = if result.is_ok() { "whole" } else { "cut" };
                 world.note("written", &self.name, &id, detail, 0.0);
-                result
+                result?;
+                let (share, after) = *self.second_answers.lock().unwrap();
+                // Spread evenly: 37 and 100 have no common divisor.
+                if self.streams_ended.fetch_add(1, Ordering::SeqCst) * 37 % 100 < share {
+                    thread::sleep(Duration::from_secs_f64(after));
+                    world.note("second", &self.name, &id, "a second answer is written", after);
+                    return stream.write_all(&whole_answer(&id));
+                }
+                Ok(())
             }
         }
     }
@@ -453,6 +462,16 @@
     }
 }
 
+/// A whole streamed answer of one event.
+fn whole_answer(id: &str) -> Vec<u8> {
+    let mut bytes =
+        b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n".to_vec();
+    bytes.extend(encode_chunk(&encode_event(id, 0)));
+    bytes.extend(encode_chunk("data: [DONE]\n\n"));
+    bytes.extend(b"0\r\n\r\n");
+    bytes
+}
+
 pub fn encode_event(id: &str, number: usize) -> String {
     format!(
         "data: {{\"choices\":[{{\"index\":0,\"delta\":{{\"content\":\"{id} {number}\"}},\
@@ -515,10 +534,6 @@
     changed: Condvar,
     /// The time that the answer to a call for the whole list takes from its first to its last byte.
     pub list_takes: Mutex<f64>,
-    /// Whether the first object of a watch is the whole list.
-    pub whole_first: AtomicBool,
-    /// The time before the first byte of an answer.
-    pub answer_after: Mutex<f64>,
     closed: AtomicBool,
 }
 
@@ -531,8 +546,6 @@
             state: Mutex::new(AgentState { seq, entries, changes: Vec::new() }),
             changed: Condvar::new(),
             list_takes: Mutex::new(0.0),
-            whole_first: AtomicBool::new(false),
-            answer_after: Mutex::new(0.0),
             closed: AtomicBool::new(false),
         });
         let (served, world) = (agent.clone(), world.clone());
@@ -571,8 +584,6 @@
         let mut reader = Reader::new(world, stream);
         while let Some(request) = reader.message()? {
             world.note_at(request.at, "call", &self.name, "-", request.path(), 0.0);
-            let wait = *self.answer_after.lock().unwrap();
-            thread::sleep(Duration::from_secs_f64(wait));
             if request.path().contains("watch=1") {
                 return self.watch(world, request.path(), &mut reader.stream);
             }
@@ -617,23 +628,18 @@
             b"HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ntransfer-encoding: chunked\r\n\r\n",
         )?;
         let mut sent: u64 = after;
-        if self.whole_first.load(Ordering::SeqCst) {
-            let line = {
-                let state = self.state.lock().unwrap();
-                sent = state.seq;
-                list(state.seq, true, &state.entries)
-            };
-            stream.write_all(&encode_chunk(&format!("{line}\n")))?;
-            world.note("told", &self.name, "-", &line, sent as f64);
-        }
         loop {
             if self.closed.load(Ordering::SeqCst) {
                 return Ok(());
             }
             let mut state = self.state.lock().unwrap();
             let line = if state.seq > sent {
-                let changes: Vec<Entry> =
-                    state.changes.iter().filter(|(seq, _)| *seq > sent).map(|(_, entry)| entry.clone()).collect();
+                let changes: Vec<Entry> = state
+                    .changes
+                    .iter()
+                    .filter(|(seq, _)| *seq > sent)
+                    .map(|(_, entry)| entry.clone())
+                    .collect();
                 let first = state.changes.first().map_or(state.seq, |(seq, _)| seq - 1);
                 let line = if sent >= first {
                     list(state.seq, false, &changes)
@@ -772,7 +778,8 @@
         let child = children.len() - 1;
         drop(children);
         world.note("start", name, "-", &format!("listens on {address}"), f64::from(pid));
-        let router = Router { name: name.to_owned(), address, pid, config, world: world.clone(), child, settings };
+        let router =
+            Router { name: name.to_owned(), address, pid, config, world: world.clone(), child, settings };
         router.wait_ready();
         router
     }
@@ -839,7 +846,14 @@
 }
 
 /// A client's request, as bytes.
-pub fn request(id: &str, class: &str, deadline_ms: u64, prompt: u64, max_out: u64, body_bytes: usize) -> Vec<u8> {
+pub fn request(
+    id: &str,
+    class: &str,
+    deadline_ms: u64,
+    prompt: u64,
+    max_out: u64,
+    body_bytes: usize,
+) -> Vec<u8> {
     let filler = "x".repeat(body_bytes);
     let body = format!(
         "{{\"model\":\"{class}\",\"stream\":true,\"max_tokens\":{max_out},\"messages\":[{{\"role\":\"user\",\
