--- a/review/10/case.rs
+++ b/review/10/case.rs
@@ -40,7 +40,8 @@
     let mut stream = TcpStream::connect(router.address).unwrap();
     let _ = stream.set_nodelay(true);
     let _ = stream.set_nonblocking(true);
-    let sent = world.note("sent", "client", "command-0", "bytes, with all commands behind it", bytes.len() as f64);
+    let sent =
+        world.note("sent", "client", "command-0", "bytes, with all commands behind it", bytes.len() as f64);
     let mut written = 0;
     while written < bytes.len() && world.now() < sent + STAYS {
         match stream.write(&bytes[written..]) {
--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -130,7 +130,13 @@
         peak = peak.max(memory);
         if world.now() > noted + 1.0 {
             noted = world.note("memory", "platform", "-", "private memory in kB", memory as f64);
-            world.note("bad", "client", "-", "requests of bad clients answered", answered.load(Ordering::Relaxed) as f64);
+            world.note(
+                "bad",
+                "client",
+                "-",
+                "requests of bad clients answered",
+                answered.load(Ordering::Relaxed) as f64,
+            );
         }
         if memory > limit {
             world.note("memory", "platform", "-", "over the limit", memory as f64);
--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -133,7 +133,13 @@
 
     let own = lateness.load(Ordering::Relaxed) as f64 / 1e6;
     world.note("own", "test", "-", "the test's own lateness", own);
-    world.note("bad", "client", "-", "requests of bad clients answered", answered.load(Ordering::Relaxed) as f64);
+    world.note(
+        "bad",
+        "client",
+        "-",
+        "requests of bad clients answered",
+        answered.load(Ordering::Relaxed) as f64,
+    );
     let answers = world.events("answer");
     let (mut streams, mut late, mut worst) = (0, 0, 0.0_f64);
     for written in world.events("written").iter().filter(|event| event.detail == "whole") {
@@ -142,7 +148,13 @@
         worst = worst.max((end - written.at).min(99.0));
         if end - written.at > END_LIMIT {
             late += 1;
-            world.note("late", "client", &written.id, "the end was passed on late", (end - written.at).min(99.0));
+            world.note(
+                "late",
+                "client",
+                &written.id,
+                "the end was passed on late",
+                (end - written.at).min(99.0),
+            );
         }
     }
     if own > OWN_LATENESS {
@@ -153,6 +165,8 @@
     }
     world.finish(
         BROKEN,
-        &format!("{late} of {streams} streams lost: their end was passed on over 1 s late, the latest {worst:.1} s"),
+        &format!(
+            "{late} of {streams} streams lost: their end was passed on over 1 s late, the latest {worst:.1} s"
+        ),
     );
 }
