Read ahead behind an active request where a close could hide, within a memory budget

What callers saw: an attempt began for a client that had left.

Cause: nothing behind an active request is read, and a close is in order with the bytes in front of it. Once the receive buffer is full, the close waits in the client's send buffer until the router reads, and no query of the kernel tells.

Evidence: the regression test asks the check before the write, without policy or workers: it finds an open connection 0.1 s after the close, with 301 requests of 400 bytes and with 2 of 200,000. With what fits the buffer the close is seen.

Change: if bytes are unread behind a request that awaits its response, and 32 KiB or more have arrived since the socket was last empty, all are read into blocks of memory, so a close arrives. The memory is a twelfth of the limit, taken from that of requests; a connection gets at most as much as stays free. Without room no attempt may be made: the request is answered at once, rejected where harmless, and the next one is read. Why it works: the receive window is open whenever an attempt is permitted, so a close is either visible or the request is given up.

--- a/src/frontend/error.rs
+++ b/src/frontend/error.rs
@@ -50,6 +50,9 @@
     /// The client had disconnected before the request was submitted.
     #[error("the client has disconnected")]
     ClientDisconnected,
+    /// The client has sent so much behind the request that its disconnect could not be detected.
+    #[error("too many bytes behind the request")]
+    TooManyPipelinedBytes,
     /// The request arrived in the closing phase of a graceful shutdown.
     #[error("the request arrived in the closing phase of a shutdown")]
     ShuttingDown,
@@ -85,7 +88,7 @@
             RequestError::DuplicateId => {
                 malformed(StatusCode::CONFLICT, "a request with this id is in hand\n".into())
             }
-            RequestError::MemoryBudgetExhausted(_) => {
+            RequestError::MemoryBudgetExhausted(_) | RequestError::TooManyPipelinedBytes => {
                 counters.requests_shed.increment();
                 chat_completions::rejection(Some(RETRY_AFTER))
             }
--- a/src/frontend/service.rs
+++ b/src/frontend/service.rs
@@ -146,7 +146,10 @@
     shutdown: &watch::Receiver<ShutdownPhase>,
 ) -> Result<(), RequestError> {
     if client.has_disconnected() {
-        return Err(RequestError::ClientDisconnected);
+        return Err(match client.is_close_hidden() {
+            true => RequestError::TooManyPipelinedBytes,
+            false => RequestError::ClientDisconnected,
+        });
     }
     // The process may exit before the deadline of a request that arrives this late; another router can still
     // serve it.
--- a/src/net/memory.rs
+++ b/src/net/memory.rs
@@ -7,15 +7,19 @@
 const MIN_CONNECTION_BYTES: usize = BufferLimit::BUFFERS_PER_CONNECTION * BufferLimit::MIN.bytes();
 /// The share of the memory limit for the buffers of all connections: one half.
 const CONNECTION_DIVISOR: usize = 2;
-/// The share of the memory limit for the heads and bodies of all requests: one third. The remaining sixth is
-/// for the endpoint list, the policy and the log.
-const REQUEST_DIVISOR: usize = 3;
+/// The share of the memory limit for the heads and bodies of all requests: one quarter.
+const REQUEST_DIVISOR: usize = 4;
+/// The share of the memory limit for bytes that are read ahead: one twelfth. The remaining sixth is for the
+/// endpoint list, the policy and the log.
+const READ_AHEAD_DIVISOR: usize = 12;
 
 /// The parts of the memory limit, in bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct MemoryDivision {
     /// For the heads and bodies of all requests in flight.
     pub requests: usize,
+    /// For the bytes that clients send behind their active request.
+    pub read_ahead: usize,
     /// For the buffers of all connections.
     connections: usize,
 }
@@ -24,7 +28,11 @@
     /// Divides a memory limit.
     pub fn of(memory_mb: usize) -> Self {
         let bytes = memory_mb.saturating_mul(BYTES_PER_MEGABYTE);
-        MemoryDivision { requests: bytes / REQUEST_DIVISOR, connections: bytes / CONNECTION_DIVISOR }
+        MemoryDivision {
+            requests: bytes / REQUEST_DIVISOR,
+            read_ahead: bytes / READ_AHEAD_DIVISOR,
+            connections: bytes / CONNECTION_DIVISOR,
+        }
     }
 
     /// The smallest memory limit, in megabytes, with which this many connections fit.
--- a/src/net/memory/tests.rs
+++ b/src/net/memory/tests.rs
@@ -15,7 +15,8 @@
     let connections = descriptors.min(memory.max_connections());
     let buffers = BufferLimit::BUFFERS_PER_CONNECTION * memory.buffer_limit(connections).bytes();
     let least_rest = memory_mb * BYTES_PER_MEGABYTE / 8;
-    assert!(connections * buffers + memory.requests + least_rest <= memory_mb * BYTES_PER_MEGABYTE);
+    let requests = memory.requests + memory.read_ahead;
+    assert!(connections * buffers + requests + least_rest <= memory_mb * BYTES_PER_MEGABYTE);
 }
 
 /// The platform's limits allow all of its descriptors to be used.
--- a/src/net/server/client_socket.rs
+++ b/src/net/server/client_socket.rs
@@ -5,6 +5,8 @@
 //! run on one thread.
 
 use crate::net::server::framing::{FramingParser, HeadFraming};
+use crate::net::server::memory_budget::MemoryBudget;
+use crate::net::server::read_ahead::{CloseVisibility, ReadAhead};
 use crate::net::server::read_gate::ReadGate;
 use crate::net::server::socket_probe;
 use crate::rules::close::{ConnectionPhase, ConnectionSnapshot, Eviction};
@@ -13,7 +15,7 @@
 use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::Interest;
+use tokio::io::{Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -21,6 +23,8 @@
 /// The interval of polling for a disconnect while unread bytes are pending. Well below 100 ms: no request may
 /// be forwarded for a client that disconnected that long ago.
 const DISCONNECT_POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// The same while bytes are read ahead that a close may follow.
+const CATCH_UP_INTERVAL: Duration = Duration::from_millis(1);
 /// The number of bytes after a request that are checked for the method of another one; no method is longer.
 const METHOD_PEEK_BYTES: usize = 32;
 
@@ -39,6 +43,9 @@
     pipelining: PipelineWait,
     changed: Notify,
     framing: RefCell<FramingParser>,
+    read_ahead: RefCell<ReadAhead>,
+    /// Whether the close of the connection could not be detected at some time in the current phase.
+    is_close_hidden: Cell<bool>,
 }
 
 /// When pipelined requests began to wait for the request before them.
@@ -70,8 +77,9 @@
 }
 
 impl ClientSocket {
-    /// Wraps a newly accepted connection. `number` identifies it in the log.
-    pub fn new(number: u64, stream: Rc<TcpStream>) -> Rc<Self> {
+    /// Wraps a newly accepted connection. `number` identifies it in the log. Bytes that are read ahead are
+    /// reserved from `read_ahead_memory`.
+    pub fn new(number: u64, stream: Rc<TcpStream>, read_ahead_memory: Rc<MemoryBudget>) -> Rc<Self> {
         Rc::new(ClientSocket {
             number,
             accepted_at: Instant::now(),
@@ -85,6 +93,8 @@
             pipelining: PipelineWait::default(),
             changed: Notify::new(),
             framing: RefCell::default(),
+            read_ahead: RefCell::new(ReadAhead::new(read_ahead_memory)),
+            is_close_hidden: Cell::new(false),
         })
     }
 
@@ -131,7 +141,12 @@
         self.changed.notified().await;
     }
 
-    /// Whether received bytes have not been read yet.
+    /// Whether bytes were received that belong to no request so far: unread, or read ahead.
+    pub fn has_pending_bytes(&self) -> bool {
+        !self.read_ahead.borrow().is_empty() || self.has_unread_bytes()
+    }
+
+    /// Whether received bytes have not been read from the socket.
     pub fn has_unread_bytes(&self) -> bool {
         socket_probe::has_unread_bytes(&self.stream)
     }
@@ -146,14 +161,33 @@
 /// Detection of client disconnects.
 impl ClientSocket {
     /// Whether the client has closed the connection, or at least its sending side. Queries the kernel, not
-    /// the readiness cached by the runtime.
-    pub fn has_disconnected(&self) -> bool {
+    /// the readiness cached by the runtime. A close behind bytes that the kernel has not received is not seen.
+    pub fn has_closed(&self) -> bool {
         socket_probe::is_closed_by_peer(&self.stream)
     }
 
-    /// Resolves when the client has closed the connection or its sending side. Cancel safe.
+    /// Whether the client has closed the connection, or may have done so unseen: it has sent more behind the
+    /// active request than may be read ahead. No attempt may be made for such a request.
+    pub fn has_disconnected(&self) -> bool {
+        self.read_ahead();
+        self.is_close_hidden.get() || self.has_closed()
+    }
+
+    /// Whether a close would not be seen, because the client has sent too much behind the active request.
+    pub fn is_close_hidden(&self) -> bool {
+        self.is_close_hidden.get()
+    }
+
+    /// Resolves when [`has_disconnected`](Self::has_disconnected) returns true. Cancel safe.
     pub async fn disconnected(&self) {
-        while !self.has_disconnected() {
+        loop {
+            let visibility = self.read_ahead();
+            if self.is_close_hidden.get() || self.has_closed() {
+                return;
+            }
+            if !self.read_ahead.borrow().is_empty() {
+                self.pipelining.record_next_request();
+            }
             let Ok(ready) = self.stream.ready(Interest::READABLE).await else { return };
             if ready.is_read_closed() {
                 return;
@@ -166,10 +200,25 @@
             }
             self.pipelining.record_next_request();
             // Unread bytes keep the socket readable, so no event reports a close that follows them.
-            tokio::time::sleep(DISCONNECT_POLL_INTERVAL).await;
+            let is_catching_up = visibility == CloseVisibility::CatchingUp;
+            tokio::time::sleep(if is_catching_up { CATCH_UP_INTERVAL } else { DISCONNECT_POLL_INTERVAL })
+                .await;
         }
     }
 
+    /// Reads ahead behind the active request, as far as necessary for a close to be seen. Once a response is
+    /// streamed, no further attempt depends on the client, and nothing is read ahead.
+    fn read_ahead(&self) -> CloseVisibility {
+        if self.phase.get() != ConnectionPhase::AwaitingResponse {
+            return CloseVisibility::Visible;
+        }
+        let visibility = self.read_ahead.borrow_mut().fill(&self.stream);
+        if visibility == CloseVisibility::Hidden && !self.is_close_hidden.replace(true) {
+            log::debug!("connection {}: too many bytes behind the active request", self.number);
+        }
+        visibility
+    }
+
     /// A handle by which the upstream side of a request checks whether the client has disconnected.
     pub fn connection(self: &Rc<Self>) -> ClientConnection {
         let client = self.clone();
@@ -199,7 +248,7 @@
     /// was too short.
     pub fn has_excess_bytes(&self) -> bool {
         let mut bytes = [0; METHOD_PEEK_BYTES];
-        let received = socket_probe::peek(&self.stream, &mut bytes);
+        let received = self.read_ahead.borrow().peek(&self.stream, &mut bytes);
         let method = bytes[..received].split(|b| matches!(b, b' ' | b'\n')).next().unwrap_or_default();
         !method.iter().all(|b| b.is_ascii_uppercase() || *b == b'\r')
     }
@@ -214,6 +263,23 @@
         self.framing.borrow().clone().advance(received)
     }
 
+    /// Moves bytes that were read ahead into `buf`, up to the end of the request being received. Returns
+    /// whether there were any.
+    pub(super) fn take_read_ahead(&self, buf: &mut ReadBuf<'_>) -> bool {
+        let mut read_ahead = self.read_ahead.borrow_mut();
+        let front = read_ahead.front();
+        let available = &front[..front.len().min(buf.remaining())];
+        let length = self.request_bytes_in(available);
+        buf.put_slice(&available[..length]);
+        read_ahead.consume(length);
+        length > 0
+    }
+
+    /// Records bytes that were read from the socket while hyper waited for them.
+    pub(super) fn record_socket_read(&self, length: usize) {
+        self.read_ahead.borrow_mut().record_read(length);
+    }
+
     /// Records bytes that hyper has read. Closes the gate after the last byte of a request.
     pub(super) fn record_read(&self, bytes: &[u8]) {
         if let ConnectionPhase::Idle(_) = self.phase.get() {
@@ -255,6 +321,11 @@
         }
     }
 
+    /// Frees the memory of bytes that were read ahead, when the connection has ended.
+    pub(super) fn discard_read_ahead(&self) {
+        self.read_ahead.borrow_mut().clear();
+    }
+
     /// Records that the sending side of the connection is being shut down.
     pub fn begin_closing(&self) {
         self.enter_phase(ConnectionPhase::Closing(Instant::now()));
@@ -274,6 +345,7 @@
     /// Changes the phase and wakes the connection task. Every phase change goes through this method.
     fn enter_phase(&self, phase: ConnectionPhase) {
         self.phase.set(phase);
+        self.is_close_hidden.set(false);
         self.changed.notify_one();
     }
 }
--- a/src/net/server/connection.rs
+++ b/src/net/server/connection.rs
@@ -72,7 +72,7 @@
     loop {
         let is_closing = *shutdown.borrow_and_update() == ShutdownPhase::Closing;
         let snapshot = client.snapshot(is_closing);
-        if is_closing && is_idle_between_requests(&snapshot) && !client.has_unread_bytes() {
+        if is_closing && is_idle_between_requests(&snapshot) && !client.has_pending_bytes() {
             return CloseReason::Shutdown;
         }
         let wake_at = recheck_at.take().or_else(|| close_deadline(&snapshot).map(|(at, _)| at));
@@ -95,7 +95,7 @@
                 let due = close_deadline(&client.snapshot(is_closing));
                 let Some((_, reason)) = due.filter(|(at, _)| *at <= Instant::now()) else { continue };
                 if reason == CloseReason::WriteTimeout
-                    || may_close(client.phase(), client.has_unread_bytes())
+                    || may_close(client.phase(), client.has_pending_bytes())
                 {
                     return reason;
                 }
--- a/src/net/server/connection_handler.rs
+++ b/src/net/server/connection_handler.rs
@@ -81,8 +81,8 @@
         let is_closing = *self.shutdown.borrow() == ShutdownPhase::Closing;
         self.is_over_limit
             || self.client.is_within_body()
-            || self.client.has_disconnected()
-            || is_closing && !self.client.has_unread_bytes()
+            || self.client.has_closed()
+            || is_closing && !self.client.has_pending_bytes()
     }
 }
 
--- a/src/net/server/connections.rs
+++ b/src/net/server/connections.rs
@@ -132,7 +132,10 @@
 
 impl Drop for ConnectionSlot {
     fn drop(&mut self) {
-        self.connections.open.borrow_mut().remove(&self.number);
+        if let Some(client) = self.connections.open.borrow_mut().remove(&self.number) {
+            // The client may outlive its connection, in the state of a request.
+            client.discard_read_ahead();
+        }
         self.connections.slot_released.notify_one();
     }
 }
--- a/src/net/server/gated_socket.rs
+++ b/src/net/server/gated_socket.rs
@@ -60,8 +60,11 @@
     ) -> Poll<io::Result<()>> {
         ready!(self.client.gate().poll_open(cx));
         let filled_before = buf.filled().len();
-        let readable = ready!(self.poll_readable_bytes(cx, buf.remaining()))?;
-        ready!(self.socket.poll_read_up_to(cx, buf, readable))?;
+        if !self.client.take_read_ahead(buf) {
+            let readable = ready!(self.poll_readable_bytes(cx, buf.remaining()))?;
+            ready!(self.socket.poll_read_up_to(cx, buf, readable))?;
+            self.client.record_socket_read(buf.filled().len() - filled_before);
+        }
         self.client.record_read(&buf.filled()[filled_before..]);
         Poll::Ready(Ok(()))
     }
--- a/src/net/server/memory_budget.rs
+++ b/src/net/server/memory_budget.rs
@@ -43,6 +43,25 @@
         self.bytes += bytes;
         Ok(())
     }
+
+    /// Reserves more bytes if this reservation then has at most as many as stay available to others. So a
+    /// single holder gets half of an idle budget, and the shares become smaller as more holders need one.
+    ///
+    /// # Errors
+    /// The reservation would exceed that share; it is unchanged.
+    pub fn grow_within_share(&mut self, bytes: usize) -> Result<(), BudgetExhausted> {
+        if self.bytes + 2 * bytes > self.budget.available.get() {
+            return Err(BudgetExhausted);
+        }
+        self.grow(bytes)
+    }
+
+    /// Returns reserved bytes to the budget.
+    pub fn shrink(&mut self, bytes: usize) {
+        let returned = bytes.min(self.bytes);
+        self.bytes -= returned;
+        self.budget.available.set(self.budget.available.get() + returned);
+    }
 }
 
 impl Drop for MemoryReservation {
--- a/src/net/server/memory_budget/tests.rs
+++ b/src/net/server/memory_budget/tests.rs
@@ -20,3 +20,17 @@
     drop(reservation);
     assert_eq!(budget.available.get(), 10);
 }
+
+/// Guards against one client that takes a whole budget from all others.
+#[test]
+fn a_reservation_within_its_share_leaves_as_much_to_others() {
+    let budget = MemoryBudget::new(10);
+    let mut first = MemoryReservation::new(budget.clone());
+    while first.grow_within_share(1).is_ok() {}
+    assert_eq!(budget.available.get(), 5);
+    let mut second = MemoryReservation::new(budget.clone());
+    while second.grow_within_share(1).is_ok() {}
+    assert_eq!(budget.available.get(), 3);
+    first.shrink(5);
+    assert_eq!(budget.available.get(), 8);
+}
--- a/src/net/server/mod.rs
+++ b/src/net/server/mod.rs
@@ -14,6 +14,7 @@
 pub mod handler;
 mod lingering_close;
 pub mod memory_budget;
+mod read_ahead;
 mod read_gate;
 pub mod received_request;
 pub mod request_label;
--- a/src/net/server/socket_probe.rs
+++ b/src/net/server/socket_probe.rs
@@ -1,6 +1,7 @@
-//! Queries of the kernel's state of a client's socket that do not read from it.
+//! Queries of the kernel's state of a client's socket. They bypass the readiness that the runtime caches.
 
 use crate::net::socket::retry_on_interrupt;
+use rustix::buffer::spare_capacity;
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use rustix::net::{RecvFlags, recv};
 use std::os::fd::AsFd;
@@ -23,6 +24,16 @@
     received.map_or(0, |(received, _)| received)
 }
 
+/// Reads received bytes into the spare capacity of `block`. Returns their number; 0 if there are none or the
+/// call failed, which the next regular read of the connection reports.
+pub fn receive(stream: &TcpStream, block: &mut Vec<u8>) -> usize {
+    let received = retry_on_interrupt(|| {
+        let (received, _) = recv(stream.as_fd(), spare_capacity(block), RecvFlags::DONTWAIT)?;
+        Ok(received)
+    });
+    received.unwrap_or(0)
+}
+
 /// Whether received bytes have not been read yet.
 pub fn has_unread_bytes(stream: &TcpStream) -> bool {
     peek(stream, &mut [0]) > 0
--- a/src/process/router.rs
+++ b/src/process/router.rs
@@ -78,7 +78,7 @@
         let service = Rc::new(components.service_context(config, is_stopping.clone()));
         let jsonrpc = components.jsonrpc_service(config, sockets, &service);
         let handler = RequestService { context: service, jsonrpc: jsonrpc.clone() };
-        let shutdown = components.start_server(sockets, socket, handler, is_stopping);
+        let shutdown = components.start_server(config, sockets, socket, handler, is_stopping);
         log::info!(
             "{} serves on {address}, {} sockets for clients and {} for workers",
             config.name,
@@ -192,6 +192,7 @@
     /// Starts the server, which accepts connections from now on.
     fn start_server(
         &self,
+        config: &Config,
         sockets: SocketBudget,
         socket: TcpListener,
         handler: RequestService,
@@ -206,6 +207,7 @@
             max_connections,
             max_waiting_requests: max_connections,
             buffer_limit: sockets.buffer_limit,
+            read_ahead_memory: MemoryBudget::new(MemoryDivision::of(config.limits.memory_mb).read_ahead),
             shutdown: phase,
             connections: connections.clone(),
             counters: self.counters.clone(),
--- a/tests/support/server.rs
+++ b/tests/support/server.rs
@@ -31,11 +31,13 @@
     pub max_connections: usize,
     /// The memory budget of requests, in bytes.
     pub request_memory: usize,
+    /// The memory budget of bytes that are read ahead.
+    pub read_ahead_memory: usize,
 }
 
 impl Default for ServerOptions {
     fn default() -> Self {
-        ServerOptions { max_connections: 64, request_memory: 1 << 20 }
+        ServerOptions { max_connections: 64, request_memory: 1 << 20, read_ahead_memory: 1 << 20 }
     }
 }
 
@@ -71,6 +73,7 @@
             max_connections: options.max_connections,
             max_waiting_requests: 64,
             buffer_limit: BufferLimit::MAX,
+            read_ahead_memory: MemoryBudget::new(options.read_ahead_memory),
             shutdown: phases,
             connections: connections.clone(),
             counters,
