Receive request bodies into segments of few sizes, so that the heap keeps no holes

Cause: each body was received into one buffer that grew by 16 KiB at a time, so that every body asked the allocator for blocks of many sizes. Freed ones leave holes that fit no other body. The budget counts what is allocated, not the holes.

Change: bodies are received into segments whose sizes are powers of two from 1 to 16 KiB, and forwarded as SegmentedBytes, still with one system call. Why it works: the memory of one request fits the next, so the heap stays as large as what the budget counts.

Regression test: tests/memory.rs, bodies_of_many_lengths_stay_within_the_memory_limit, 335 clients, 10 s.

--- a/src/frontend/jsonrpc/call.rs
+++ b/src/frontend/jsonrpc/call.rs
@@ -140,7 +140,7 @@
             id,
             target: chat_completions::PATH.to_owned(),
             headers: HeaderMap::from_iter([(CONTENT_TYPE, json)]),
-            body,
+            body: body.into(),
             client: client.connection(),
             resources: None,
         }
--- a/src/frontend/jsonrpc/tool_client.rs
+++ b/src/frontend/jsonrpc/tool_client.rs
@@ -6,10 +6,12 @@
 use crate::config::ToolSettings;
 use crate::interface::WorkerId;
 use crate::net::buffer_limit::BufferLimit;
-use crate::net::upstream::pool::{ConnectError, Connection, Pool, PoolLimits, REUSE_DELAY, Target};
+use crate::net::upstream::pool::{
+    ConnectError, Connection, Pool, PoolLimits, REUSE_DELAY, Target, UpstreamBody,
+};
 use crate::runtime::counters::Counters;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode, http};
 use serde_json::value::RawValue;
@@ -191,7 +193,7 @@
             .header("host", TOOL_SERVER_HOST)
             .header("content-type", "application/json")
             .header("idempotency-key", call.id)
-            .body(Full::new(call.body.clone()))?;
+            .body(UpstreamBody::new(call.body.clone().into()))?;
         let write_progress = connection.write_progress();
         self.counters.tool_executions.increment();
         // If this future is dropped before it resolves, it is not known how much was written: the tool may
--- a/src/frontend/request_body.rs
+++ b/src/frontend/request_body.rs
@@ -4,17 +4,20 @@
 use crate::net::server::client_socket::ClientSocket;
 use crate::net::server::memory_budget::{BudgetExhausted, MemoryReservation};
 use crate::net::server::received_request::MAX_BODY_BYTES;
+use crate::runtime::exchange::SegmentedBytes;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 
-/// How much the memory of a body grows at a time.
-const GROWTH_BYTES: usize = 16 * 1024;
+/// The sizes of the segments of a body are the powers of two between these. The last segment of a body is the
+/// smallest one that holds the rest.
+const MIN_SEGMENT_BYTES: usize = 1024;
+const MAX_SEGMENT_BYTES: usize = 16 * 1024;
 
 /// A body that has been received in full.
 pub struct RequestBody {
     /// The bytes of the body without its transfer encoding.
-    pub bytes: Bytes,
+    pub bytes: SegmentedBytes,
     /// The memory reserved for `bytes`, to be held as long as they are.
     pub reservation: MemoryReservation,
 }
@@ -35,12 +38,12 @@
         return Err(RequestError::BodyTooLong);
     }
     let expected_length = declared_length.map_or(MAX_BODY_BYTES, |length| length as usize);
-    let mut buffer = BodyBuffer { bytes: Vec::new(), expected_length, reservation };
+    let mut buffer = BodyBuffer::new(expected_length, reservation);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| RequestError::BodyReadFailed)?;
         // Trailers are ignored.
         let Ok(data) = frame.into_data() else { continue };
-        if buffer.bytes.len() + data.len() > MAX_BODY_BYTES {
+        if buffer.length + data.len() > MAX_BODY_BYTES {
             return Err(RequestError::BodyTooLong);
         }
         buffer.append(&data)?;
@@ -49,28 +52,53 @@
         return Err(RequestError::ExcessBytes);
     }
     client.complete_request();
-    Ok(RequestBody { bytes: buffer.bytes.into(), reservation: buffer.reservation })
+    Ok(buffer.into_body())
 }
 
 /// The received part of a body. All of its allocated memory is reserved, not only the bytes received.
 struct BodyBuffer {
-    bytes: Vec<u8>,
+    full_segments: Vec<Bytes>,
+    last_segment: Vec<u8>,
+    /// The number of bytes received.
+    length: usize,
     /// The declared length, or the size limit of a body of unknown length.
     expected_length: usize,
     reservation: MemoryReservation,
 }
 
 impl BodyBuffer {
+    fn new(expected_length: usize, reservation: MemoryReservation) -> Self {
+        let (full_segments, last_segment) = (Vec::new(), Vec::new());
+        BodyBuffer { full_segments, last_segment, length: 0, expected_length, reservation }
+    }
+
     /// Appends received bytes. The memory grows as they arrive, so that a declared length alone occupies none.
-    fn append(&mut self, data: &[u8]) -> Result<(), BudgetExhausted> {
-        let length = self.bytes.len() + data.len();
-        let capacity = self.bytes.capacity();
-        if length > capacity {
-            let new_capacity = length.max((capacity + GROWTH_BYTES).min(self.expected_length));
-            self.reservation.grow(new_capacity - capacity)?;
-            self.bytes.reserve_exact(new_capacity - self.bytes.len());
+    fn append(&mut self, mut data: &[u8]) -> Result<(), BudgetExhausted> {
+        while !data.is_empty() {
+            if self.last_segment.len() == self.last_segment.capacity() {
+                self.begin_segment()?;
+            }
+            let room = self.last_segment.capacity() - self.last_segment.len();
+            let (part, rest) = data.split_at(room.min(data.len()));
+            self.last_segment.extend_from_slice(part);
+            self.length += part.len();
+            data = rest;
         }
-        self.bytes.extend_from_slice(data);
         Ok(())
     }
+
+    fn begin_segment(&mut self) -> Result<(), BudgetExhausted> {
+        let rest = self.expected_length.saturating_sub(self.length);
+        let size = rest.clamp(MIN_SEGMENT_BYTES, MAX_SEGMENT_BYTES).next_power_of_two();
+        self.reservation.grow(size)?;
+        let full_segment = std::mem::replace(&mut self.last_segment, Vec::with_capacity(size));
+        self.full_segments.push(full_segment.into());
+        Ok(())
+    }
+
+    /// The received bytes, and the reservation of their memory.
+    fn into_body(self) -> RequestBody {
+        let segments = self.full_segments.into_iter().chain([self.last_segment.into()]);
+        RequestBody { bytes: segments.collect(), reservation: self.reservation }
+    }
 }
--- a/src/frontend/service.rs
+++ b/src/frontend/service.rs
@@ -92,7 +92,7 @@
             let reservation = MemoryReservation::new(self.context.request_memory.clone());
             let body = read_body(request.into_body(), client, reservation).await?;
             let RequestBody { bytes, reservation: _reservation } = body;
-            return Ok(jsonrpc.respond(bytes, client).await);
+            return Ok(jsonrpc.respond(bytes.to_contiguous(), client).await);
         }
         match (path, request.method()) {
             (chat_completions::PATH, &Method::POST) => self.complete_chat(request, client, shutdown).await,
--- a/src/net/upstream/call.rs
+++ b/src/net/upstream/call.rs
@@ -3,9 +3,10 @@
 use crate::interface::WorkerId;
 use crate::net::LocalBoxFuture;
 use crate::net::upstream::client::UpstreamClient;
+use crate::net::upstream::connection::UpstreamBody;
 use crate::net::upstream::pool::ConnectError;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::{Method, Request, StatusCode};
 use std::task::{Context, Poll};
@@ -19,7 +20,7 @@
 /// A small request to a worker.
 pub struct UnaryCall {
     worker: WorkerId,
-    request: Request<Full<Bytes>>,
+    request: Request<UpstreamBody>,
     body_length: usize,
 }
 
@@ -30,7 +31,7 @@
     /// `path` is not a valid path of an HTTP request.
     pub(super) fn new(worker: WorkerId, method: Method, path: &str) -> hyper::http::Result<Self> {
         let request = Request::builder().method(method).uri(path).header("host", WORKER_HOST);
-        Ok(UnaryCall { worker, request: request.body(Full::default())?, body_length: 0 })
+        Ok(UnaryCall { worker, request: request.body(UpstreamBody::default())?, body_length: 0 })
     }
 
     /// A `POST` of a JSON document.
@@ -41,7 +42,7 @@
         let request = Request::post(path).header("host", WORKER_HOST);
         let request = request.header("content-type", "application/json");
         let body_length = body.len();
-        Ok(UnaryCall { worker, request: request.body(Full::new(body))?, body_length })
+        Ok(UnaryCall { worker, request: request.body(UpstreamBody::new(body.into()))?, body_length })
     }
 }
 
--- a/src/net/upstream/connection.rs
+++ b/src/net/upstream/connection.rs
@@ -6,7 +6,7 @@
 use crate::net::upstream::write_progress::{
     MonitoredStream, WriteGuard, WriteProgress, has_no_pending_input,
 };
-use bytes::Bytes;
+use crate::runtime::exchange::SegmentedBytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
@@ -24,6 +24,9 @@
 /// caused by the processing of the request.
 const STALE_RESET_WINDOW: Duration = Duration::from_millis(100);
 
+/// The body of a request to a worker.
+pub type UpstreamBody = Full<SegmentedBytes>;
+
 /// Why there is no connection.
 #[derive(Debug, thiserror::Error)]
 pub enum ConnectError {
@@ -59,7 +62,7 @@
 /// Dropping it closes the socket. If a request is still waiting for its response, dropping it also discards
 /// the kernel's unsent data, so that the worker does not receive the rest of an abandoned request.
 pub struct Connection {
-    sender: http1::SendRequest<Full<Bytes>>,
+    sender: http1::SendRequest<UpstreamBody>,
     /// Shared with hyper's I/O, for peeking at the socket.
     stream: Rc<TcpStream>,
     progress: Rc<WriteProgress>,
@@ -136,7 +139,7 @@
     /// The connection failed, or the response head is invalid.
     pub async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        request: Request<UpstreamBody>,
         body_length: usize,
     ) -> hyper::Result<Response<Incoming>> {
         self.send_guarded(request, body_length, Box::new(|| Ok(()))).await
@@ -148,7 +151,7 @@
     /// As for [`send`](Self::send); also if a write was withheld, see [`WriteProgress::withheld_outcome`].
     pub async fn send_guarded(
         &mut self,
-        request: Request<Full<Bytes>>,
+        request: Request<UpstreamBody>,
         body_length: usize,
         guard: WriteGuard,
     ) -> hyper::Result<Response<Incoming>> {
--- a/src/net/upstream/forward.rs
+++ b/src/net/upstream/forward.rs
@@ -2,9 +2,8 @@
 
 use crate::interface::Micros;
 use crate::net::upstream::call::WORKER_HOST;
+use crate::net::upstream::connection::UpstreamBody;
 use crate::runtime::exchange::ForwardedRequest;
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::Request;
 use hyper::header::HeaderValue;
 
@@ -15,8 +14,8 @@
 pub(super) fn forward_request(
     forwarded: &ForwardedRequest,
     remaining: Micros,
-) -> hyper::http::Result<Request<Full<Bytes>>> {
-    let mut request = Request::post(&forwarded.target).body(Full::new(forwarded.body.clone()))?;
+) -> hyper::http::Result<Request<UpstreamBody>> {
+    let mut request = Request::post(&forwarded.target).body(UpstreamBody::new(forwarded.body.clone()))?;
     let headers = request.headers_mut();
     headers.clone_from(&forwarded.headers);
     headers.insert("host", HeaderValue::from_static(WORKER_HOST));
--- a/src/net/upstream/pool.rs
+++ b/src/net/upstream/pool.rs
@@ -17,7 +17,7 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::Instant;
 
-pub use super::connection::{ConnectError, Connection};
+pub use super::connection::{ConnectError, Connection, UpstreamBody};
 pub use super::write_progress::WriteProgress;
 
 /// The limit on idle connections to each worker. It is enough for a burst of requests; more would only occupy
--- a/src/runtime/exchange/mod.rs
+++ b/src/runtime/exchange/mod.rs
@@ -5,9 +5,11 @@
 //! dropped unused fails the request, so that no client waits forever.
 
 mod request;
+mod segmented_bytes;
 mod stream;
 
 pub use request::{ClientConnection, ForwardedRequest, RequestState};
+pub use segmented_bytes::SegmentedBytes;
 pub use stream::{Frame, Reply, ResponseStream, ResponseStreamSender, response_stream};
 
 use crate::interface::Micros;
--- a/src/runtime/exchange/request.rs
+++ b/src/runtime/exchange/request.rs
@@ -1,6 +1,6 @@
 //! A request as it is forwarded to workers, and the state of the request and of its client's connection.
 
-use bytes::Bytes;
+use super::SegmentedBytes;
 use hyper::HeaderMap;
 use std::any::Any;
 use std::cell::Cell;
@@ -17,7 +17,7 @@
     /// The client's end-to-end headers.
     pub headers: HeaderMap,
     /// The complete body of the request to a worker.
-    pub body: Bytes,
+    pub body: SegmentedBytes,
     /// Tells whether the client that sent the request has disconnected.
     pub client: ClientConnection,
     /// Resources that the request occupies, such as its id and its share of memory. They are freed with the
--- a/tests/attempts/harness.rs
+++ b/tests/attempts/harness.rs
@@ -1,6 +1,7 @@
 //! The test harness: an upstream client, the driver inputs that it submits, and scripted workers.
 
 use crate::support::{Message, Peer, PeerConnection};
+use bytes::Bytes;
 use llm_router::interface::*;
 use llm_router::net::buffer_limit::BufferLimit;
 use llm_router::net::discovery::{AddressedEndpoint, Directory, EndpointUpdate};
@@ -129,7 +130,7 @@
         id: id.into(),
         target: "/".into(),
         headers: Default::default(),
-        body: "hello".into(),
+        body: Bytes::from("hello").into(),
         client: ClientConnection::default(),
         resources: None,
     }
--- a/tests/attempts/unreachable_workers.rs
+++ b/tests/attempts/unreachable_workers.rs
@@ -27,7 +27,7 @@
 
     /// Creates an attempt with the large body.
     pub fn attempt(&self, upstream: &mut UpstreamHarness) -> Attempt {
-        let forwarded = ForwardedRequest { body: self.body.clone(), ..forwarded_request("id-1") };
+        let forwarded = ForwardedRequest { body: self.body.clone().into(), ..forwarded_request("id-1") };
         Attempt { forwarded: Rc::new(forwarded), ..upstream.attempt(WORKER, "id-1") }
     }
 
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -24,9 +24,9 @@
     RouterProcess::start(&operator_file(&[prefill_worker.address], &[decode_worker.address], &limits))
 }
 
-/// The most private memory that a router uses during the observation, in kB.
-fn peak_memory_kb(router: &RouterProcess) -> u64 {
-    let end = Instant::now() + OBSERVATION;
+/// The most private memory that a router uses during this time, in kB.
+fn peak_memory_kb(router: &RouterProcess, duration: Duration) -> u64 {
+    let end = Instant::now() + duration;
     let mut peak = 0;
     while Instant::now() < end {
         peak = peak.max(router.private_memory_kb());
@@ -90,7 +90,7 @@
         stream
     };
     let clients: Vec<TcpStream> = (0..CLIENTS).map(connect_and_send).collect();
-    let peak = peak_memory_kb(&router);
+    let peak = peak_memory_kb(&router, OBSERVATION);
     assert!(peak <= MEMORY_MB * KILOBYTES_PER_MEGABYTE, "{peak} kB of {MEMORY_MB} MB");
     for mut client in clients {
         let mut response = Vec::new();
@@ -105,3 +105,33 @@
     let response = Message::read(&mut other_client).unwrap();
     assert_eq!((response.status(), response.is_complete), (200, true));
 }
+
+/// A third of the platform's most descriptors, which clients hold at most.
+const PIPELINING_CLIENTS: usize = 335;
+/// The requests that such a client sends at once.
+const REQUESTS_AT_ONCE: usize = 10;
+const PIPELINING_TIME: Duration = Duration::from_secs(10);
+
+/// A complete request with a body of any length that the router accepts.
+fn whole_request(client: usize, number: u64) -> Vec<u8> {
+    const LARGEST_BODY: u64 = 250 * 1024;
+    let length =
+        (client as u64 * 7_919 + number * 104_729).wrapping_mul(0x9e37_79b9_7f4a_7c15) % LARGEST_BODY;
+    request(&format!("bad-{client}-{number}"), "explain", &"x".repeat(length as usize)).into_bytes()
+}
+
+/// Guards against a heap that grows with holes: bodies of many lengths, received and freed again and again, may
+/// leave memory between them that fits no other body and that no budget counts.
+#[test]
+fn bodies_of_many_lengths_stay_within_the_memory_limit() {
+    let (prefill_worker, decode_worker) = (Peer::prefill_worker(), decode_worker());
+    let router = start_router(&prefill_worker, &decode_worker);
+    let flood = Flood::start(router.address, PIPELINING_CLIENTS, REQUESTS_AT_ONCE, whole_request);
+    let peak = peak_memory_kb(&router, PIPELINING_TIME);
+    drop(flood);
+    assert!(peak <= MEMORY_MB * KILOBYTES_PER_MEGABYTE, "{peak} kB of {MEMORY_MB} MB");
+    let mut attempts = 0;
+    while router.request(&format!("usual-{attempts}"), "send").status() != 200 {
+        attempts += 1;
+    }
+}
--- a/tests/pipelining.rs
+++ b/tests/pipelining.rs
@@ -93,7 +93,7 @@
             tokio::time::sleep(Duration::from_millis(5)).await;
             assert_eq!(submitted.forwarded.id, format!("id-{number}"));
             assert_eq!(submitted.forwarded.body.len(), body_length);
-            assert!(submitted.forwarded.body.iter().all(|byte| *byte == b'x'));
+            assert!(submitted.forwarded.body.to_contiguous().iter().all(|byte| *byte == b'x'));
             assert!(!submitted.forwarded.client.has_disconnected());
             submitted.responder.reject(None);
         }
--- a/tests/support/driver.rs
+++ b/tests/support/driver.rs
@@ -102,7 +102,7 @@
         id: "id-1".into(),
         target: String::new(),
         headers: Default::default(),
-        body: "".into(),
+        body: Default::default(),
         client: Default::default(),
         resources: None,
     }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,6 +3,7 @@
 //! Each test binary compiles its own copy of the harness and uses only a part of it.
 #![allow(dead_code, unused_imports)]
 
+mod flood;
 mod message;
 mod operator_file;
 mod peer;
@@ -13,6 +14,7 @@
 pub mod tool_server;
 mod workers;
 
+pub use flood::Flood;
 pub use message::Message;
 pub use operator_file::operator_file;
 pub use peer::{
