Limit what client connections read in one turn of the event loop

Cause: a request that is answered at once reopens the read gate in the same poll, so one connection has many requests handled in a turn, and nothing limits what all of them take. An event of a stream needs several turns.

Change: client connections together read 64 times in a turn, then wait in the order in which they came; a pipelined request is read in a later turn than the response before it. A turn ends when all other ready tasks have run and the sockets have been polled. Why it works: whatever clients send, the other tasks have their turn after a bounded amount of work. Without contention nobody waits.

--- a/src/net/server/accept.rs
+++ b/src/net/server/accept.rs
@@ -7,7 +7,7 @@
 use crate::net::server::connection_handler::{ConnectionHandler, LimitedHandler};
 use crate::net::server::connections::{Connections, EvictionResult};
 use crate::net::server::handler::RequestHandler;
-use crate::net::server::memory_budget::MemoryBudget;
+use crate::net::server::read_limits::ReadLimits;
 use crate::net::server::shutdown_phase::ShutdownPhase;
 use crate::runtime::counters::Counters;
 use std::io;
@@ -66,8 +66,8 @@
     pub max_waiting_requests: usize,
     /// The limit of the buffers of each connection.
     pub buffer_limit: BufferLimit,
-    /// The memory for bytes that are read ahead on all connections.
-    pub read_ahead_memory: Rc<MemoryBudget>,
+    /// The limits on what all connections read together.
+    pub read_limits: ReadLimits,
     /// The current phase of a graceful shutdown.
     pub shutdown: watch::Receiver<ShutdownPhase>,
     /// The registry of open connections.
@@ -177,7 +177,7 @@
     fn spawn_connection(&self, stream: TcpStream, limited: &LimitedHandler<H>) {
         self.counters.client_connections.increment();
         let number = self.connections.next_number();
-        let client = ClientSocket::new(number, Rc::new(stream), self.read_ahead_memory.clone());
+        let client = ClientSocket::new(number, Rc::new(stream), self.read_limits.clone());
         let slot = self.connections.register(client.clone());
         let eviction = self.evict_near_limit();
         let is_over_limit = self.is_over_limit(eviction);
--- a/src/net/server/accept/tests.rs
+++ b/src/net/server/accept/tests.rs
@@ -53,7 +53,7 @@
         max_connections: 64,
         max_waiting_requests: 64,
         buffer_limit: BufferLimit::MAX,
-        read_ahead_memory: MemoryBudget::new(0),
+        read_limits: ReadLimits::new(0),
         shutdown,
         connections: Rc::default(),
         counters: Rc::default(),
--- a/src/net/server/client_socket.rs
+++ b/src/net/server/client_socket.rs
@@ -5,9 +5,10 @@
 //! run on one thread.
 
 use crate::net::server::framing::{FramingParser, HeadFraming};
-use crate::net::server::memory_budget::MemoryBudget;
 use crate::net::server::read_ahead::{CloseVisibility, ReadAhead};
 use crate::net::server::read_gate::ReadGate;
+use crate::net::server::read_limits::ReadLimits;
+use crate::net::server::read_turns::ConnectionTurns;
 use crate::net::server::socket_probe;
 use crate::rules::close::{ConnectionPhase, ConnectionSnapshot, Eviction};
 use crate::runtime::exchange::ClientConnection;
@@ -35,6 +36,7 @@
     stream: Rc<TcpStream>,
     phase: Cell<ConnectionPhase>,
     gate: ReadGate,
+    turns: ConnectionTurns,
     /// Whether the response in progress is the connection's last.
     is_last_response: Cell<bool>,
     is_write_blocked: Cell<bool>,
@@ -77,15 +79,15 @@
 }
 
 impl ClientSocket {
-    /// Wraps a newly accepted connection. `number` identifies it in the log. Bytes that are read ahead are
-    /// reserved from `read_ahead_memory`.
-    pub fn new(number: u64, stream: Rc<TcpStream>, read_ahead_memory: Rc<MemoryBudget>) -> Rc<Self> {
+    /// Wraps a newly accepted connection. `number` identifies it in the log.
+    pub fn new(number: u64, stream: Rc<TcpStream>, limits: ReadLimits) -> Rc<Self> {
         Rc::new(ClientSocket {
             number,
             accepted_at: Instant::now(),
             stream,
             phase: Cell::new(ConnectionPhase::Idle(Instant::now())),
             gate: ReadGate::new(),
+            turns: ConnectionTurns::new(limits.turns),
             is_last_response: Cell::new(false),
             is_write_blocked: Cell::new(false),
             eviction: Cell::new(Eviction::None),
@@ -93,7 +95,7 @@
             pipelining: PipelineWait::default(),
             changed: Notify::new(),
             framing: RefCell::default(),
-            read_ahead: RefCell::new(ReadAhead::new(read_ahead_memory)),
+            read_ahead: RefCell::new(ReadAhead::new(limits.read_ahead_memory)),
             is_close_hidden: Cell::new(false),
         })
     }
@@ -143,7 +145,7 @@
 
     /// Whether bytes were received that belong to no request so far: unread, or read ahead.
     pub fn has_pending_bytes(&self) -> bool {
-        !self.read_ahead.borrow().is_empty() || self.has_unread_bytes()
+        self.has_read_ahead() || self.has_unread_bytes()
     }
 
     /// Whether received bytes have not been read from the socket.
@@ -185,7 +187,7 @@
             if self.is_close_hidden.get() || self.has_closed() {
                 return;
             }
-            if !self.read_ahead.borrow().is_empty() {
+            if self.has_read_ahead() {
                 self.pipelining.record_next_request();
             }
             let Ok(ready) = self.stream.ready(Interest::READABLE).await else { return };
@@ -239,6 +241,16 @@
         &self.gate
     }
 
+    /// The connection's part in the turns in which connections read.
+    pub(super) fn turns(&self) -> &ConnectionTurns {
+        &self.turns
+    }
+
+    /// Whether bytes that were read ahead are left.
+    pub(super) fn has_read_ahead(&self) -> bool {
+        !self.read_ahead.borrow().is_empty()
+    }
+
     /// The framing of the next head that is passed to the request handler.
     pub fn next_head_framing(&self) -> HeadFraming {
         self.framing.borrow_mut().next_head()
@@ -263,16 +275,14 @@
         self.framing.borrow().clone().advance(received)
     }
 
-    /// Moves bytes that were read ahead into `buf`, up to the end of the request being received. Returns
-    /// whether there were any.
-    pub(super) fn take_read_ahead(&self, buf: &mut ReadBuf<'_>) -> bool {
+    /// Moves bytes that were read ahead into `buf`, up to the end of the request being received.
+    pub(super) fn take_read_ahead(&self, buf: &mut ReadBuf<'_>) {
         let mut read_ahead = self.read_ahead.borrow_mut();
         let front = read_ahead.front();
         let available = &front[..front.len().min(buf.remaining())];
         let length = self.request_bytes_in(available);
         buf.put_slice(&available[..length]);
         read_ahead.consume(length);
-        length > 0
     }
 
     /// Records bytes that were read from the socket while hyper waited for them.
@@ -315,6 +325,7 @@
     /// was the last.
     pub fn finish_response(&self) {
         self.has_responded.set(true);
+        self.turns.record_response();
         self.enter_phase(ConnectionPhase::Idle(Instant::now()));
         if !self.is_last_response.get() {
             self.gate.open();
--- a/src/net/server/gated_socket.rs
+++ b/src/net/server/gated_socket.rs
@@ -45,6 +45,16 @@
         Poll::Ready(Ok(self.client.request_bytes_in(peeked.filled())))
     }
 
+    /// Reads from the socket, up to the end of the request being received.
+    fn poll_read_socket(&mut self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let Poll::Ready(readable) = self.poll_readable_bytes(cx, buf.remaining()) else {
+            self.client.turns().record_drained();
+            return Poll::Pending;
+        };
+        ready!(self.client.turns().poll_may_read(cx));
+        self.socket.poll_read_up_to(cx, buf, readable?)
+    }
+
     /// Reports to the connection whether its output is blocked, which is the case while a write is pending.
     fn report_write<T>(&self, result: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
         self.client.set_write_blocked(result.is_pending());
@@ -60,11 +70,14 @@
     ) -> Poll<io::Result<()>> {
         ready!(self.client.gate().poll_open(cx));
         let filled_before = buf.filled().len();
-        if !self.client.take_read_ahead(buf) {
-            let readable = ready!(self.poll_readable_bytes(cx, buf.remaining()))?;
-            ready!(self.socket.poll_read_up_to(cx, buf, readable))?;
+        if self.client.has_read_ahead() {
+            ready!(self.client.turns().poll_may_read(cx));
+            self.client.take_read_ahead(buf);
+        } else {
+            ready!(self.poll_read_socket(cx, buf))?;
             self.client.record_socket_read(buf.filled().len() - filled_before);
         }
+        self.client.turns().record_read();
         self.client.record_read(&buf.filled()[filled_before..]);
         Poll::Ready(Ok(()))
     }
--- a/src/net/server/mod.rs
+++ b/src/net/server/mod.rs
@@ -16,6 +16,8 @@
 pub mod memory_budget;
 mod read_ahead;
 mod read_gate;
+pub mod read_limits;
+mod read_turns;
 pub mod received_request;
 pub mod request_label;
 pub mod shutdown_phase;
--- a/src/process/router.rs
+++ b/src/process/router.rs
@@ -13,6 +13,7 @@
 use crate::net::server::accept::{Listener, RESERVED_CONNECTIONS};
 use crate::net::server::connections::Connections;
 use crate::net::server::memory_budget::MemoryBudget;
+use crate::net::server::read_limits::ReadLimits;
 use crate::net::server::shutdown_phase::ShutdownPhase;
 use crate::net::socket::listen;
 use crate::net::upstream::client::UpstreamClient;
@@ -207,7 +208,7 @@
             max_connections,
             max_waiting_requests: max_connections,
             buffer_limit: sockets.buffer_limit,
-            read_ahead_memory: MemoryBudget::new(MemoryDivision::of(config.limits.memory_mb).read_ahead),
+            read_limits: ReadLimits::new(MemoryDivision::of(config.limits.memory_mb).read_ahead),
             shutdown: phase,
             connections: connections.clone(),
             counters: self.counters.clone(),
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -6,7 +6,7 @@
 use llm_router::net::server::accept::RESERVED_CONNECTIONS;
 use llm_router::net::server::client_socket::ClientSocket;
 use llm_router::net::server::gated_socket::GatedSocket;
-use llm_router::net::server::memory_budget::MemoryBudget;
+use llm_router::net::server::read_limits::ReadLimits;
 use llm_router::net::server::shutdown_phase::ShutdownPhase;
 use llm_router::rules::close::{CloseReason, ConnectionPhase, ConnectionSnapshot, Eviction, close_deadline};
 use rstest::rstest;
@@ -240,7 +240,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let mut client = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
     let stream = Rc::new(listener.accept().await.unwrap().0);
-    let socket = ClientSocket::new(1, stream, MemoryBudget::new(0));
+    let socket = ClientSocket::new(1, stream, ReadLimits::new(0));
     client.write_all(HEALTH_CHECK_REQUEST).await.unwrap();
     let mut request = vec![0; HEALTH_CHECK_REQUEST.len()];
     GatedSocket::new(socket.clone()).read_exact(&mut request).await.unwrap();
--- a/tests/support/server.rs
+++ b/tests/support/server.rs
@@ -9,6 +9,7 @@
 use llm_router::net::server::accept::Listener;
 use llm_router::net::server::connections::Connections;
 use llm_router::net::server::memory_budget::MemoryBudget;
+use llm_router::net::server::read_limits::ReadLimits;
 use llm_router::net::server::shutdown_phase::ShutdownPhase;
 use llm_router::runtime::counters::Counters;
 use llm_router::runtime::exchange::{ForwardedRequest, Responder};
@@ -73,7 +74,7 @@
             max_connections: options.max_connections,
             max_waiting_requests: 64,
             buffer_limit: BufferLimit::MAX,
-            read_ahead_memory: MemoryBudget::new(options.read_ahead_memory),
+            read_limits: ReadLimits::new(options.read_ahead_memory),
             shutdown: phases,
             connections: connections.clone(),
             counters,
