Name the read scheduler after its rounds, and move the pipeline wait to its own module

The test of a pipelined request's deadline stood twice: it is one test with two cases now, unread and read ahead, in tests/pipelining.rs, with the same assertions.

No behaviour changes.

--- a/src/net/server/client_socket.rs
+++ b/src/net/server/client_socket.rs
@@ -5,10 +5,11 @@
 //! run on one thread.
 
 use crate::net::server::framing::{FramingParser, HeadFraming};
+use crate::net::server::pipeline_wait::PipelineWait;
 use crate::net::server::read_ahead::{CloseVisibility, ReadAhead};
 use crate::net::server::read_gate::ReadGate;
 use crate::net::server::read_limits::ReadLimits;
-use crate::net::server::read_turns::ConnectionTurns;
+use crate::net::server::read_scheduler::ConnectionReads;
 use crate::net::server::socket_probe;
 use crate::rules::close::{ConnectionPhase, ConnectionSnapshot, Eviction};
 use crate::runtime::exchange::ClientConnection;
@@ -36,7 +37,7 @@
     stream: Rc<TcpStream>,
     phase: Cell<ConnectionPhase>,
     gate: ReadGate,
-    turns: ConnectionTurns,
+    reads: ConnectionReads,
     /// Whether the response in progress is the connection's last.
     is_last_response: Cell<bool>,
     is_write_blocked: Cell<bool>,
@@ -50,34 +51,6 @@
     is_close_hidden: Cell<bool>,
 }
 
-/// When pipelined requests began to wait for the request before them.
-#[derive(Default)]
-struct PipelineWait {
-    /// When bytes of the next request were first detected after the active one.
-    next_since: Cell<Option<Instant>>,
-    /// When bytes of the active request, which was read last, were first detected after the one before it.
-    active_since: Cell<Option<Instant>>,
-}
-
-impl PipelineWait {
-    /// Records that bytes of the next request wait behind the active one.
-    fn record_next_request(&self) {
-        if self.next_since.get().is_none() {
-            self.next_since.set(Some(Instant::now()));
-        }
-    }
-
-    /// Makes the next request the active one when its first bytes are read.
-    fn begin_request(&self) {
-        self.active_since.set(self.next_since.take());
-    }
-
-    /// The time since the active request was first detected while it waited; zero if it did not wait.
-    fn elapsed(&self) -> Duration {
-        self.active_since.get().map_or(Duration::ZERO, |since| since.elapsed())
-    }
-}
-
 impl ClientSocket {
     /// Wraps a newly accepted connection. `number` identifies it in the log.
     pub fn new(number: u64, stream: Rc<TcpStream>, limits: ReadLimits) -> Rc<Self> {
@@ -87,7 +60,7 @@
             stream,
             phase: Cell::new(ConnectionPhase::Idle(Instant::now())),
             gate: ReadGate::new(),
-            turns: ConnectionTurns::new(limits.turns),
+            reads: ConnectionReads::new(limits.scheduler),
             is_last_response: Cell::new(false),
             is_write_blocked: Cell::new(false),
             eviction: Cell::new(Eviction::None),
@@ -214,7 +187,7 @@
         if self.phase.get() != ConnectionPhase::AwaitingResponse {
             return CloseVisibility::Visible;
         }
-        let visibility = self.read_ahead.borrow_mut().fill(&self.stream);
+        let visibility = self.read_ahead.borrow_mut().read_available(&self.stream);
         if visibility == CloseVisibility::Hidden && !self.is_close_hidden.replace(true) {
             log::debug!("connection {}: too many bytes behind the active request", self.number);
         }
@@ -241,9 +214,9 @@
         &self.gate
     }
 
-    /// The connection's part in the turns in which connections read.
-    pub(super) fn turns(&self) -> &ConnectionTurns {
-        &self.turns
+    /// The reads of this connection, which the scheduler of all connections limits.
+    pub(super) fn reads(&self) -> &ConnectionReads {
+        &self.reads
     }
 
     /// Whether bytes that were read ahead are left.
@@ -325,7 +298,7 @@
     /// was the last.
     pub fn finish_response(&self) {
         self.has_responded.set(true);
-        self.turns.record_response();
+        self.reads.record_response();
         self.enter_phase(ConnectionPhase::Idle(Instant::now()));
         if !self.is_last_response.get() {
             self.gate.open();
--- a/src/net/server/gated_socket.rs
+++ b/src/net/server/gated_socket.rs
@@ -48,10 +48,10 @@
     /// Reads from the socket, up to the end of the request being received.
     fn poll_read_socket(&mut self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let Poll::Ready(readable) = self.poll_readable_bytes(cx, buf.remaining()) else {
-            self.client.turns().record_drained();
+            self.client.reads().record_drained();
             return Poll::Pending;
         };
-        ready!(self.client.turns().poll_may_read(cx));
+        ready!(self.client.reads().poll_may_read(cx));
         self.socket.poll_read_up_to(cx, buf, readable?)
     }
 
@@ -71,13 +71,13 @@
         ready!(self.client.gate().poll_open(cx));
         let filled_before = buf.filled().len();
         if self.client.has_read_ahead() {
-            ready!(self.client.turns().poll_may_read(cx));
+            ready!(self.client.reads().poll_may_read(cx));
             self.client.take_read_ahead(buf);
         } else {
             ready!(self.poll_read_socket(cx, buf))?;
             self.client.record_socket_read(buf.filled().len() - filled_before);
         }
-        self.client.turns().record_read();
+        self.client.reads().record_read();
         self.client.record_read(&buf.filled()[filled_before..]);
         Poll::Ready(Ok(()))
     }
--- a/src/net/server/read_ahead.rs
+++ b/src/net/server/read_ahead.rs
@@ -101,7 +101,7 @@
     }
 
     /// Reads all received bytes ahead if a close could be hidden behind them.
-    pub fn fill(&mut self, stream: &TcpStream) -> CloseVisibility {
+    pub fn read_available(&mut self, stream: &TcpStream) -> CloseVisibility {
         if !self.may_hide_close(stream) {
             return CloseVisibility::Visible;
         }
--- a/src/net/server/read_ahead/tests.rs
+++ b/src/net/server/read_ahead/tests.rs
@@ -16,7 +16,7 @@
     let (mut client, server) = connected_pair().await;
     client.write_all(&[b'x'; OPEN_WINDOW_BYTES - 1]).await.unwrap();
     let mut read_ahead = ReadAhead::new(MemoryBudget::new(8 * BLOCK_BYTES));
-    assert_eq!(read_ahead.fill(&server), CloseVisibility::Visible);
+    assert_eq!(read_ahead.read_available(&server), CloseVisibility::Visible);
     assert!(read_ahead.is_empty());
 }
 
@@ -28,11 +28,11 @@
     client.write_all(b"x").await.unwrap();
     let mut read_ahead = ReadAhead::new(MemoryBudget::new(8 * BLOCK_BYTES));
     read_ahead.record_read(OPEN_WINDOW_BYTES);
-    assert_eq!(read_ahead.fill(&server), CloseVisibility::CatchingUp);
+    assert_eq!(read_ahead.read_available(&server), CloseVisibility::CatchingUp);
     assert_eq!(read_ahead.front(), b"x");
-    assert_eq!(read_ahead.fill(&server), CloseVisibility::Visible);
+    assert_eq!(read_ahead.read_available(&server), CloseVisibility::Visible);
     client.write_all(b"y").await.unwrap();
-    assert_eq!(read_ahead.fill(&server), CloseVisibility::Visible, "the window was open again");
+    assert_eq!(read_ahead.read_available(&server), CloseVisibility::Visible, "the window was open again");
 }
 
 #[tokio::test]
@@ -42,7 +42,7 @@
     let sent: Vec<u8> = (0..3 * BLOCK_BYTES).map(|index| (index / 7) as u8).collect();
     client.write_all(&sent).await.unwrap();
     let mut read_ahead = ReadAhead::new(budget.clone());
-    assert_eq!(read_ahead.fill(&server), CloseVisibility::CatchingUp);
+    assert_eq!(read_ahead.read_available(&server), CloseVisibility::CatchingUp);
     let mut peeked = vec![0; sent.len()];
     assert_eq!(read_ahead.peek(&server, &mut peeked), sent.len());
     assert_eq!(peeked, sent);
@@ -62,7 +62,7 @@
     let (mut client, server) = connected_pair().await;
     client.write_all(&[b'x'; 3 * BLOCK_BYTES]).await.unwrap();
     let mut read_ahead = ReadAhead::new(budget.clone());
-    assert_eq!(read_ahead.fill(&server), CloseVisibility::Hidden);
+    assert_eq!(read_ahead.read_available(&server), CloseVisibility::Hidden);
     read_ahead.clear();
     assert!(MemoryReservation::new(budget).grow(3 * BLOCK_BYTES).is_ok());
 }
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -184,28 +184,6 @@
     .await;
 }
 
-/// Guards against a deadline that starts when a pipelined request is read: the client has been waiting since
-/// it sent the request.
-#[tokio::test(start_paused = true)]
-async fn the_deadline_of_a_pipelined_request_includes_its_wait() {
-    run_local(async {
-        let mut server = Server::bind().await.run();
-        let mut client = server.connect().await;
-        client.write_all(request("id-1", "send", "hello").as_bytes()).await.unwrap();
-        let first = server.next_request().await;
-        let (sent_at, first_deadline) = (Instant::now(), first.spec.deadline);
-        client.write_all(request("id-2", "send", "hello").as_bytes()).await.unwrap();
-        tokio::time::sleep(Duration::from_secs(3)).await;
-        first.responder.reject(None);
-        let second = server.next_request().await;
-        assert!(sent_at.elapsed() >= Duration::from_secs(3));
-        // Both have a deadline of eight seconds and were sent at almost the same time.
-        let difference_us = second.spec.deadline - first_deadline;
-        assert!(difference_us <= 150_000, "{difference_us} us later than the client's deadline");
-    })
-    .await;
-}
-
 /// Guards against resetting a client that still sends the body of a rejected request: it would never read the
 /// rejection. The rest of that body is read, and nothing after it.
 #[tokio::test]
--- a/tests/pipelining.rs
+++ b/tests/pipelining.rs
@@ -153,21 +153,26 @@
     .await;
 }
 
-/// Guards against a pipelined request with a late deadline because the request in front of it was read ahead
-/// as well: its time counts from when it was first detected.
+/// Guards against a deadline that starts when a pipelined request is read: the client has been waiting since
+/// it sent the request, whether or not it was read ahead.
+#[rstest]
+#[case::unread(5)]
+#[case::read_ahead(40_000)]
 #[tokio::test(start_paused = true)]
-async fn the_deadline_of_a_request_read_ahead_includes_its_wait() {
+async fn the_deadline_of_a_pipelined_request_includes_its_wait(#[case] body_length: usize) {
     run_local(async {
+        let body = "x".repeat(body_length);
         let mut server = Server::bind().await.run();
         let mut client = server.connect().await;
-        client.write_all(&pipelined_requests(2, 40_000)).await.unwrap();
+        client.write_all(request("id-1", "send", &body).as_bytes()).await.unwrap();
         let first = server.next_request().await;
-        let sent_at = Instant::now();
+        let (sent_at, first_deadline) = (Instant::now(), first.spec.deadline);
+        client.write_all(request("id-2", "send", &body).as_bytes()).await.unwrap();
         tokio::time::sleep(Duration::from_secs(3)).await;
-        let first_deadline = first.spec.deadline;
         first.responder.reject(None);
         let second = server.next_request().await;
         assert!(sent_at.elapsed() >= Duration::from_secs(3));
+        // Both have a deadline of eight seconds and were sent at almost the same time.
         let difference_us = second.spec.deadline - first_deadline;
         assert!(difference_us <= 150_000, "{difference_us} us later than the client's deadline");
     })
