Log why a stream ends before its worker ends it, with its progress

Cause: the log has a line when a worker breaks a stream, and none when its client gives it up.

Change: each early end of a stream is logged with its reason (worker, client or driver) and its progress: parts with events, time since the last, bytes since then.

--- a/src/net/upstream/mod.rs
+++ b/src/net/upstream/mod.rs
@@ -11,7 +11,7 @@
 //! | `attempt`, `completion` | the steps of an attempt, and the report of its result |
 //! | `forward`, `write_guard` | builds the forwarded request, and checks before each write of it |
 //! | `response`, `event_stream` | classifies responses, and validates event streams |
-//! | `stream`, `stream_tail` | the relay of a stream to the client |
+//! | `stream`, `stream_progress`, `stream_tail` | the relay of a stream to the client |
 //! | `call` | unary calls outside of attempts, used by `release`, `slot`, `health` and `stream` |
 //! | `release`, `slot`, `health` | cache releases, slot reservations and health checks |
 //! | `load_report` | the workers' load reports |
@@ -32,6 +32,7 @@
 mod response;
 mod slot;
 mod stream;
+mod stream_progress;
 mod stream_tail;
 mod write_guard;
 mod write_progress;
--- a/src/net/upstream/stream.rs
+++ b/src/net/upstream/stream.rs
@@ -6,6 +6,7 @@
 use crate::net::upstream::completion::ConnectionDisposition;
 use crate::net::upstream::event_stream::{EventStream, EventStreamError, StreamPart};
 use crate::net::upstream::response::OpenedStream;
+use crate::net::upstream::stream_progress::StreamProgress;
 use crate::net::upstream::stream_tail::StreamTail;
 use crate::rules::close::CLIENT_WRITE_TIMEOUT;
 use crate::runtime::exchange::{Frame, Reply, ResponseStreamSender, response_stream};
@@ -20,7 +21,7 @@
 /// The time within which the worker must accept a reply.
 const REPLY_TIMEOUT: Duration = EVENT_TIMEOUT;
 
-/// Why a stream broke after its first event.
+/// Why a stream ended early, after its first event.
 #[derive(Debug, thiserror::Error)]
 enum StreamError {
     /// No event arrived for [`EVENT_TIMEOUT`].
@@ -33,6 +34,29 @@
     /// another body.
     #[error("ended before its end marker")]
     Truncated,
+    /// The client closed its connection.
+    #[error("the client disconnected")]
+    ClientDisconnected,
+    /// The client read nothing for [`CLIENT_WRITE_TIMEOUT`].
+    #[error("the client read nothing for {CLIENT_WRITE_TIMEOUT:?}")]
+    ClientWriteTimeout,
+    /// The driver cancelled the attempt.
+    #[error("the attempt was cancelled")]
+    Cancelled,
+}
+
+impl StreamError {
+    /// The outcome of the attempt. Only a stream that its worker broke is held against the worker.
+    fn outcome(&self) -> Outcome {
+        match self {
+            StreamError::EventTimeout | StreamError::Corrupted(_) | StreamError::Truncated => {
+                Outcome::ConnectionLost
+            }
+            StreamError::ClientDisconnected | StreamError::ClientWriteTimeout | StreamError::Cancelled => {
+                Outcome::Cancelled
+            }
+        }
+    }
 }
 
 /// The result of a stream that was relayed completely.
@@ -64,9 +88,11 @@
         is_self_delimited,
         sender,
         tail: StreamTail::new(),
+        progress: StreamProgress::new(),
         last_activity: Instant::now(),
     };
-    relay.run(StreamPart { bytes: first_event, has_event: true }).await
+    let first = StreamPart { bytes: first_event, has_event: true };
+    relay.run(first).await.map_err(|error| relay.record_error(&error))
 }
 
 /// The relay of one stream.
@@ -77,13 +103,14 @@
     is_self_delimited: bool,
     sender: ResponseStreamSender,
     tail: StreamTail,
+    progress: StreamProgress,
     /// When the current [`EVENT_TIMEOUT`] began: at the last event from the worker or reply to it. Time in
     /// which the relay waited for a slow client, or the worker for a reply, does not count and moves it on.
     last_activity: Instant,
 }
 
 impl StreamRelay<'_> {
-    async fn run(&mut self, first: StreamPart) -> Result<CompletedStream, Outcome> {
+    async fn run(&mut self, first: StreamPart) -> Result<CompletedStream, StreamError> {
         let mut next = Some(first);
         while let Some(part) = next {
             self.forward(part).await?;
@@ -99,8 +126,9 @@
 
     /// Sends a part to the client. The channel is bounded, so a slow client applies backpressure to the
     /// worker and does not use more memory.
-    async fn forward(&mut self, part: StreamPart) -> Result<(), Outcome> {
+    async fn forward(&mut self, part: StreamPart) -> Result<(), StreamError> {
         self.tail.push(&part.bytes);
+        self.progress.record(&part);
         let started = Instant::now();
         let sending = self.sender.frames.send(Frame::Data(part.bytes));
         match tokio::time::timeout(CLIENT_WRITE_TIMEOUT, sending).await {
@@ -108,21 +136,22 @@
             // A comment does not restart the event timeout, but the time spent on sending it to a slow client
             // does not count against the worker.
             Ok(Ok(())) => self.last_activity += started.elapsed(),
-            _ => return Err(Outcome::Cancelled),
+            Ok(Err(_)) => return Err(StreamError::ClientDisconnected),
+            Err(_) => return Err(StreamError::ClientWriteTimeout),
         }
         Ok(())
     }
 
     /// Waits for the next part and delivers replies in the meantime; `None` at the end of a complete stream.
-    async fn next_part(&mut self) -> Result<Option<StreamPart>, Outcome> {
+    async fn next_part(&mut self) -> Result<Option<StreamPart>, StreamError> {
         loop {
             let event_deadline = self.last_activity + EVENT_TIMEOUT;
             tokio::select! {
                 // Cancellation and a disconnected client come first, because nothing more may be relayed
                 // then. Replies come before events, so that a busy stream does not delay them.
                 biased;
-                _ = &mut self.attempt.cancelled => return Err(Outcome::Cancelled),
-                () = self.sender.frames.closed() => return Err(Outcome::Cancelled),
+                _ = &mut self.attempt.cancelled => return Err(self.cancellation()),
+                () = self.sender.frames.closed() => return Err(StreamError::ClientDisconnected),
                 Some(reply) = self.sender.replies.recv() => {
                     self.last_activity = Instant::now();
                     self.deliver_reply(reply);
@@ -134,9 +163,9 @@
                         Ok(Ok(None)) if self.is_complete() => return Ok(None),
                         // A decode worker sends no events while it waits for the result of a tool call.
                         Err(_) if self.sender.awaiting_reply.get() => self.last_activity = Instant::now(),
-                        Ok(Ok(None)) => return Err(self.record_error(StreamError::Truncated)),
-                        Ok(Err(error)) => return Err(self.record_error(error.into())),
-                        Err(_) => return Err(self.record_error(StreamError::EventTimeout)),
+                        Ok(Ok(None)) => return Err(StreamError::Truncated),
+                        Ok(Err(error)) => return Err(error.into()),
+                        Err(_) => return Err(StreamError::EventTimeout),
                     }
                 }
             }
@@ -149,12 +178,23 @@
         self.tail.ends_with_end_marker() || self.is_self_delimited && !self.events.is_validated()
     }
 
-    /// Counts and logs a broken stream. Returns the attempt's outcome.
-    fn record_error(&self, error: StreamError) -> Outcome {
-        self.client.counters.streams_broken.increment();
-        let (request, worker) = (&self.attempt.forwarded.id, &self.attempt.worker.0);
-        log::info!("request {request}: stream from {worker} broke: {error}");
-        Outcome::ConnectionLost
+    /// Why the driver cancelled the attempt: the driver, too, learns that a client has disconnected.
+    fn cancellation(&self) -> StreamError {
+        if self.sender.frames.is_closed() { StreamError::ClientDisconnected } else { StreamError::Cancelled }
+    }
+
+    /// Logs why the stream ended early, and counts it if its worker broke it. Returns the attempt's outcome.
+    fn record_error(&self, error: &StreamError) -> Outcome {
+        let (request, worker, progress) =
+            (&self.attempt.forwarded.id, &self.attempt.worker.0, &self.progress);
+        let outcome = error.outcome();
+        if outcome == Outcome::ConnectionLost {
+            self.client.counters.streams_broken.increment();
+            log::info!("request {request}: stream from {worker} broke: {error}; {progress}");
+        } else {
+            log::info!("request {request}: stream from {worker} was given up: {error}; {progress}");
+        }
+        outcome
     }
 
     /// Sends a reply to the worker on a separate connection, in a task that may outlive the stream.
--- a/tests/streams.rs
+++ b/tests/streams.rs
@@ -183,3 +183,20 @@
         );
     }
 }
+
+/// Guards against an investigation without evidence: the log tells when a client gave up a stream, and what the
+/// worker had sent by then.
+#[test]
+fn a_stream_that_its_client_gives_up_is_logged_with_its_progress() {
+    let decode = HangingWorker::start_streaming();
+    let prefill = Peer::prefill_worker();
+    let router = RouterProcess::start(&operator_file(&[prefill.address], &[decode.peer.address], ""));
+    let mut client = router.connect();
+    client.write_all(request("id-1", "send", "hello").as_bytes()).unwrap();
+    decode.wait_for_request();
+    let mut head = String::new();
+    BufReader::new(&client).read_line(&mut head).unwrap();
+    drop(client);
+    let line = router.wait_for_log_line("request id-1: stream from ");
+    assert!(line.contains("was given up: the client disconnected; 1 parts with events, the last "), "{line}");
+}
