Count only output of the model as progress of a stream

What callers saw: a client was left waiting on a stream that brought nothing more, until it gave up after 5 s, or for as long as it stayed.

Cause: each block of lines with a data field restarted the event timeout, whatever it held. A worker that hangs or whose output is spoilt may go on with data fields without a value, empty choices or deltas, or text that is no JSON.

Change: events are parsed (event_kind), and only text, other values of a delta, a finish reason, token counts, tool calls and the end marker restart the timeout. Everything is still forwarded unchanged. A data field without a value no longer begins a response.

--- a/src/net/upstream/event_stream.rs
+++ b/src/net/upstream/event_stream.rs
@@ -5,6 +5,7 @@
 //! line that is not valid in an event, and the block with that line is not forwarded. Forwarded bytes are not
 //! changed.
 
+use crate::net::upstream::event_kind::EventKind;
 use crate::net::upstream::stream_tail::ends_with_end_marker;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
@@ -86,7 +87,7 @@
             let Ok(data) = frame?.into_data() else { continue };
             let part = match self.validation {
                 EventValidation::Enforced => self.validator.push(data)?,
-                EventValidation::Skipped => StreamPart { bytes: data, has_event: true },
+                EventValidation::Skipped => StreamPart { bytes: data, has_event: true, output_events: 1 },
             };
             if !part.bytes.is_empty() {
                 return Ok(Some(part));
@@ -97,7 +98,7 @@
         if rest.is_empty() {
             Ok(None)
         } else if ends_with_end_marker(&rest) {
-            Ok(Some(StreamPart { bytes: rest, has_event: true }))
+            Ok(Some(StreamPart { bytes: rest, has_event: true, output_events: 1 }))
         } else {
             Err(EventStreamError::Truncated)
         }
@@ -115,9 +116,10 @@
 pub struct StreamPart {
     /// The unchanged bytes from the worker.
     pub bytes: Bytes,
-    /// Whether the part contains an event. A block without a data field, such as one of comments, is not an
-    /// event.
+    /// Whether the part contains an event. A block without data, such as one of comments, is not an event.
     pub has_event: bool,
+    /// The number of events that add to the answer, including the end marker.
+    pub output_events: u64,
 }
 
 /// Splits a stream into blocks that end with a blank line, and validates each line.
@@ -125,8 +127,6 @@
 struct EventValidator {
     /// The start of a block whose end has not arrived.
     buffered: BytesMut,
-    /// Whether the buffered block has a data field.
-    has_data: bool,
     /// The length of the validated lines at the start of `buffered`.
     validated: usize,
 }
@@ -135,26 +135,27 @@
     /// Appends `data`, and removes and returns all blocks that are now complete.
     fn push(&mut self, data: Bytes) -> Result<StreamPart, EventStreamError> {
         self.buffered.extend_from_slice(&data);
-        let (mut complete, mut has_event) = (0, false);
+        let (mut complete, mut has_event, mut output_events) = (0, false, 0);
         while let Some(length) = self.buffered[self.validated..].iter().position(|b| *b == b'\n') {
             let line = &self.buffered[self.validated..self.validated + length];
             let line = line.strip_suffix(b"\r").unwrap_or(line);
             if !is_valid_line(line) {
                 return Err(EventStreamError::InvalidLine);
             }
-            let (ends_block, has_data) = (line.is_empty(), line.starts_with(b"data"));
+            let ends_block = line.is_empty();
             self.validated += length + 1;
-            self.has_data |= has_data;
             if ends_block {
+                let kind = EventKind::of_block(&self.buffered[complete..self.validated]);
                 complete = self.validated;
-                has_event |= std::mem::take(&mut self.has_data);
+                has_event |= kind != EventKind::Empty;
+                output_events += u64::from(matches!(kind, EventKind::Output | EventKind::EndMarker));
             }
         }
         if self.buffered.len() - complete > MAX_EVENT_BYTES {
             return Err(EventStreamError::EventTooLong);
         }
         self.validated -= complete;
-        Ok(StreamPart { bytes: self.buffered.split_to(complete).freeze(), has_event })
+        Ok(StreamPart { bytes: self.buffered.split_to(complete).freeze(), has_event, output_events })
     }
 
     /// Removes and returns the remaining bytes at the end of the stream.
--- a/src/net/upstream/mod.rs
+++ b/src/net/upstream/mod.rs
@@ -10,7 +10,7 @@
 //! | `outbound` | implements the driver's [`Outbound`](crate::runtime::Outbound): spawns a task per call |
 //! | `attempt`, `completion` | the steps of an attempt, and the report of its result |
 //! | `forward`, `write_guard` | builds the forwarded request, and checks before each write of it |
-//! | `response`, `event_stream` | classifies responses, and validates event streams |
+//! | `response`, `event_stream`, `event_kind` | classifies responses, and validates event streams |
 //! | `stream`, `stream_progress`, `stream_tail` | the relay of a stream to the client |
 //! | `call` | unary calls outside of attempts, used by `release`, `slot`, `health` and `stream` |
 //! | `release`, `slot`, `health` | cache releases, slot reservations and health checks |
@@ -22,6 +22,7 @@
 pub mod client;
 mod completion;
 mod connection;
+mod event_kind;
 mod event_stream;
 mod forward;
 mod health;
--- a/src/net/upstream/stream.rs
+++ b/src/net/upstream/stream.rs
@@ -6,7 +6,7 @@
 use crate::net::upstream::completion::ConnectionDisposition;
 use crate::net::upstream::event_stream::{EventStream, EventStreamError, StreamPart};
 use crate::net::upstream::response::OpenedStream;
-use crate::net::upstream::stream_progress::StreamProgress;
+use crate::net::upstream::stream_progress::{OUTPUT_TIMEOUT, StreamProgress};
 use crate::net::upstream::stream_tail::StreamTail;
 use crate::rules::close::CLIENT_WRITE_TIMEOUT;
 use crate::runtime::exchange::{Frame, Reply, ResponseStreamSender, response_stream};
@@ -15,18 +15,15 @@
 use tokio::time::Instant;
 use tower::Service;
 
-/// The maximum time between two events, after which a stream counts as broken even if its connection is open:
-/// a host that has failed sends no reset. It is shorter than the 5 s after which clients give up.
-const EVENT_TIMEOUT: Duration = Duration::from_millis(4500);
 /// The time within which the worker must accept a reply.
-const REPLY_TIMEOUT: Duration = EVENT_TIMEOUT;
+const REPLY_TIMEOUT: Duration = OUTPUT_TIMEOUT;
 
 /// Why a stream ended early, after its first event.
 #[derive(Debug, thiserror::Error)]
 enum StreamError {
-    /// No event arrived for [`EVENT_TIMEOUT`].
-    #[error("no event for {EVENT_TIMEOUT:?}")]
-    EventTimeout,
+    /// No output arrived for [`OUTPUT_TIMEOUT`].
+    #[error("no output for {OUTPUT_TIMEOUT:?}")]
+    OutputTimeout,
     /// The connection failed, or the body contains something other than events.
     #[error("{0}")]
     Corrupted(#[from] EventStreamError),
@@ -49,7 +46,7 @@
     /// The outcome of the attempt. Only a stream that its worker broke is held against the worker.
     fn outcome(&self) -> Outcome {
         match self {
-            StreamError::EventTimeout | StreamError::Corrupted(_) | StreamError::Truncated => {
+            StreamError::OutputTimeout | StreamError::Corrupted(_) | StreamError::Truncated => {
                 Outcome::ConnectionLost
             }
             StreamError::ClientDisconnected | StreamError::ClientWriteTimeout | StreamError::Cancelled => {
@@ -89,9 +86,8 @@
         sender,
         tail: StreamTail::new(),
         progress: StreamProgress::new(),
-        last_activity: Instant::now(),
     };
-    let first = StreamPart { bytes: first_event, has_event: true };
+    let first = StreamPart { bytes: first_event, has_event: true, output_events: 1 };
     relay.run(first).await.map_err(|error| relay.record_error(&error))
 }
 
@@ -104,9 +100,6 @@
     sender: ResponseStreamSender,
     tail: StreamTail,
     progress: StreamProgress,
-    /// When the current [`EVENT_TIMEOUT`] began: at the last event from the worker or reply to it. Time in
-    /// which the relay waited for a slow client, or the worker for a reply, does not count and moves it on.
-    last_activity: Instant,
 }
 
 impl StreamRelay<'_> {
@@ -132,10 +125,8 @@
         let started = Instant::now();
         let sending = self.sender.frames.send(Frame::Data(part.bytes));
         match tokio::time::timeout(CLIENT_WRITE_TIMEOUT, sending).await {
-            Ok(Ok(())) if part.has_event => self.last_activity = Instant::now(),
-            // A comment does not restart the event timeout, but the time spent on sending it to a slow client
-            // does not count against the worker.
-            Ok(Ok(())) => self.last_activity += started.elapsed(),
+            // The time spent on sending to a slow client does not count against the worker.
+            Ok(Ok(())) => self.progress.extend(started.elapsed()),
             Ok(Err(_)) => return Err(StreamError::ClientDisconnected),
             Err(_) => return Err(StreamError::ClientWriteTimeout),
         }
@@ -145,7 +136,7 @@
     /// Waits for the next part and delivers replies in the meantime; `None` at the end of a complete stream.
     async fn next_part(&mut self) -> Result<Option<StreamPart>, StreamError> {
         loop {
-            let event_deadline = self.last_activity + EVENT_TIMEOUT;
+            let output_deadline = self.progress.deadline();
             tokio::select! {
                 // Cancellation and a disconnected client come first, because nothing more may be relayed
                 // then. Replies come before events, so that a busy stream does not delay them.
@@ -153,19 +144,19 @@
                 _ = &mut self.attempt.cancelled => return Err(self.cancellation()),
                 () = self.sender.frames.closed() => return Err(StreamError::ClientDisconnected),
                 Some(reply) = self.sender.replies.recv() => {
-                    self.last_activity = Instant::now();
+                    self.progress.restart();
                     self.deliver_reply(reply);
                 }
-                // Bytes that do not complete an event do not restart the timeout.
-                received = tokio::time::timeout_at(event_deadline, self.events.next_part()) => {
+                // Only output restarts the timeout, and no other bytes.
+                received = tokio::time::timeout_at(output_deadline, self.events.next_part()) => {
                     match received {
                         Ok(Ok(Some(part))) => return Ok(Some(part)),
                         Ok(Ok(None)) if self.is_complete() => return Ok(None),
                         // A decode worker sends no events while it waits for the result of a tool call.
-                        Err(_) if self.sender.awaiting_reply.get() => self.last_activity = Instant::now(),
+                        Err(_) if self.sender.awaiting_reply.get() => self.progress.restart(),
                         Ok(Ok(None)) => return Err(StreamError::Truncated),
                         Ok(Err(error)) => return Err(error.into()),
-                        Err(_) => return Err(StreamError::EventTimeout),
+                        Err(_) => return Err(StreamError::OutputTimeout),
                     }
                 }
             }
--- a/tests/streams.rs
+++ b/tests/streams.rs
@@ -198,5 +198,8 @@
     BufReader::new(&client).read_line(&mut head).unwrap();
     drop(client);
     let line = router.wait_for_log_line("request id-1: stream from ");
-    assert!(line.contains("was given up: the client disconnected; 1 parts with events, the last "), "{line}");
+    assert!(
+        line.contains("was given up: the client disconnected; 1 events with output, the last "),
+        "{line}"
+    );
 }
