Count events of a format of their own as progress until an event of an answer arrives

Change: such events count until the stream has proved to be an answer. Lines and blocks are handled in a module of their own (event_validator), and the first event of a stream is recorded like all others.

--- a/src/net/upstream/event_kind.rs
+++ b/src/net/upstream/event_kind.rs
@@ -13,7 +13,9 @@
 pub(super) enum EventKind {
     /// A block without data, such as a comment, which servers send to keep a connection open.
     Empty,
-    /// An event that adds nothing to the answer.
+    /// An event that is not of the format of an answer.
+    Unknown,
+    /// An event of an answer that adds nothing to it.
     NoOutput,
     /// An event with a part of the answer, its token counts or a call of a tool.
     Output,
@@ -51,7 +53,8 @@
         }
         match serde_json::from_slice::<AnswerEvent>(data) {
             Ok(event) if event.has_output() => EventKind::Output,
-            _ => EventKind::NoOutput,
+            Ok(AnswerEvent { choices: Some(_), .. }) => EventKind::NoOutput,
+            _ => EventKind::Unknown,
         }
     }
 }
--- a/src/net/upstream/event_kind/tests.rs
+++ b/src/net/upstream/event_kind/tests.rs
@@ -1,6 +1,6 @@
 //! Unit tests of `event_kind`.
 
-use super::EventKind::{self, Empty, EndMarker, NoOutput, Output};
+use super::EventKind::{self, Empty, EndMarker, NoOutput, Output, Unknown};
 use rstest::rstest;
 
 #[rstest]
@@ -9,7 +9,9 @@
 #[case::no_data_field("event: ping\nid: 1\n\n", Empty)]
 #[case::data_field_without_a_value("data\n\n", Empty)]
 #[case::blank_data("data: \r\ndata:\r\n\r\n", Empty)]
-#[case::not_json("data: one\n\n", NoOutput)]
+#[case::not_json("data: one\n\n", Unknown)]
+#[case::no_event_of_an_answer("data: {\"type\":\"ping\"}\n\n", Unknown)]
+#[case::choices_of_another_type("data: {\"choices\":1}\n\n", Unknown)]
 #[case::no_choices("data: {\"choices\":[]}\n\n", NoOutput)]
 #[case::empty_delta("data: {\"choices\":[{\"delta\":{\"content\":\"\",\"tool_calls\":[]}}]}\n\n", NoOutput)]
 #[case::no_values(
--- a/src/net/upstream/event_stream.rs
+++ b/src/net/upstream/event_stream.rs
@@ -5,14 +5,14 @@
 //! line that is not valid in an event, and the block with that line is not forwarded. Forwarded bytes are not
 //! changed.
 
-use crate::net::upstream::event_kind::EventKind;
+use crate::net::upstream::event_validator::EventValidator;
 use crate::net::upstream::stream_tail::ends_with_end_marker;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
 /// The maximum length of an event, and of the comments before the first event.
-const MAX_EVENT_BYTES: usize = 128 * 1024;
+pub(super) const MAX_EVENT_BYTES: usize = 128 * 1024;
 
 /// Why a stream can't be read further.
 #[derive(Debug, thiserror::Error)]
@@ -58,15 +58,15 @@
     ///
     /// # Errors
     /// The stream is corrupted before its first event.
-    pub async fn first_event(&mut self) -> Result<Option<Bytes>, EventStreamError> {
+    pub async fn first_event(&mut self) -> Result<Option<StreamPart>, EventStreamError> {
         let mut comments = BytesMut::new();
         while let Some(part) = self.next_part().await? {
             if comments.is_empty() && part.has_event {
-                return Ok(Some(part.bytes));
+                return Ok(Some(part));
             }
             comments.extend_from_slice(&part.bytes);
             if part.has_event {
-                return Ok(Some(comments.freeze()));
+                return Ok(Some(StreamPart { bytes: comments.freeze(), ..part }));
             }
             if comments.len() > MAX_EVENT_BYTES {
                 return Err(EventStreamError::EventTooLong);
@@ -87,7 +87,7 @@
             let Ok(data) = frame?.into_data() else { continue };
             let part = match self.validation {
                 EventValidation::Enforced => self.validator.push(data)?,
-                EventValidation::Skipped => StreamPart { bytes: data, has_event: true, output_events: 1 },
+                EventValidation::Skipped => StreamPart::opaque(data),
             };
             if !part.bytes.is_empty() {
                 return Ok(Some(part));
@@ -98,7 +98,7 @@
         if rest.is_empty() {
             Ok(None)
         } else if ends_with_end_marker(&rest) {
-            Ok(Some(StreamPart { bytes: rest, has_event: true, output_events: 1 }))
+            Ok(Some(StreamPart::opaque(rest)))
         } else {
             Err(EventStreamError::Truncated)
         }
@@ -112,67 +112,21 @@
 
 /// A part of a stream: one or more blocks of lines, each terminated by a blank line, or the rest of a stream
 /// at its end.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct StreamPart {
     /// The unchanged bytes from the worker.
     pub bytes: Bytes,
     /// Whether the part contains an event. A block without data, such as one of comments, is not an event.
     pub has_event: bool,
-    /// The number of events that add to the answer, including the end marker.
+    /// Whether the part contains an event that shows that the worker makes progress.
+    pub has_progress: bool,
+    /// The number of events with a part of the answer.
     pub output_events: u64,
 }
 
-/// Splits a stream into blocks that end with a blank line, and validates each line.
-#[derive(Default)]
-struct EventValidator {
-    /// The start of a block whose end has not arrived.
-    buffered: BytesMut,
-    /// The length of the validated lines at the start of `buffered`.
-    validated: usize,
-}
-
-impl EventValidator {
-    /// Appends `data`, and removes and returns all blocks that are now complete.
-    fn push(&mut self, data: Bytes) -> Result<StreamPart, EventStreamError> {
-        self.buffered.extend_from_slice(&data);
-        let (mut complete, mut has_event, mut output_events) = (0, false, 0);
-        while let Some(length) = self.buffered[self.validated..].iter().position(|b| *b == b'\n') {
-            let line = &self.buffered[self.validated..self.validated + length];
-            let line = line.strip_suffix(b"\r").unwrap_or(line);
-            if !is_valid_line(line) {
-                return Err(EventStreamError::InvalidLine);
-            }
-            let ends_block = line.is_empty();
-            self.validated += length + 1;
-            if ends_block {
-                let kind = EventKind::of_block(&self.buffered[complete..self.validated]);
-                complete = self.validated;
-                has_event |= kind != EventKind::Empty;
-                output_events += u64::from(matches!(kind, EventKind::Output | EventKind::EndMarker));
-            }
-        }
-        if self.buffered.len() - complete > MAX_EVENT_BYTES {
-            return Err(EventStreamError::EventTooLong);
-        }
-        self.validated -= complete;
-        Ok(StreamPart { bytes: self.buffered.split_to(complete).freeze(), has_event, output_events })
-    }
-
-    /// Removes and returns the remaining bytes at the end of the stream.
-    fn finish(&mut self) -> Result<Bytes, EventStreamError> {
-        let rest = self.buffered.split().freeze();
-        let last_line = &rest[std::mem::take(&mut self.validated)..];
-        if is_valid_line(last_line) { Ok(rest) } else { Err(EventStreamError::InvalidLine) }
+impl StreamPart {
+    /// A part whose content is not known, or is the end marker.
+    fn opaque(bytes: Bytes) -> Self {
+        StreamPart { bytes, has_event: true, has_progress: true, output_events: 0 }
     }
 }
-
-/// Whether a line is valid in an event stream: a field of the server-sent events standard, a comment or a
-/// blank line.
-fn is_valid_line(line: &[u8]) -> bool {
-    let name = line.split(|b| *b == b':').next().unwrap_or_default();
-    // The field name of a comment (": text") and of a blank line is empty.
-    matches!(name, b"" | b"data" | b"event" | b"id" | b"retry") && std::str::from_utf8(line).is_ok()
-}
-
-#[cfg(test)]
-mod tests;
--- a/src/net/upstream/event_stream/tests.rs
+++ b/src/net/upstream/event_validator/tests.rs
@@ -1,4 +1,4 @@
-//! Unit tests of `event_stream`.
+//! Unit tests of `event_validator`.
 
 use super::*;
 use rstest::rstest;
@@ -39,3 +39,20 @@
     assert!(validator.push("data: ".into()).is_ok());
     assert!((0..200).any(|_| validator.push(part.clone()).is_err()));
 }
+
+/// Whether each of these events, in a part of its own, is progress.
+fn progress(events: &[&str]) -> Vec<bool> {
+    let mut validator = EventValidator::default();
+    let mut push = |event: &&str| validator.push(format!("data: {event}\n\n").into()).unwrap().has_progress;
+    events.iter().map(&mut push).collect()
+}
+
+/// Guards against a stream in a format of its own that is broken off although its events still come.
+#[test]
+fn events_of_another_format_are_progress_until_an_event_of_an_answer() {
+    const OUTPUT: &str = r#"{"choices":[{"delta":{"content":"a"}}]}"#;
+    const NO_OUTPUT: &str = r#"{"choices":[]}"#;
+    assert_eq!(progress(&["one", "{}", "two"]), [true, true, true]);
+    assert_eq!(progress(&["one", OUTPUT, "two", OUTPUT]), [true, true, false, true]);
+    assert_eq!(progress(&[NO_OUTPUT, "two", OUTPUT, "[DONE]"]), [false, false, true, true]);
+}
--- a/src/net/upstream/mod.rs
+++ b/src/net/upstream/mod.rs
@@ -10,7 +10,8 @@
 //! | `outbound` | implements the driver's [`Outbound`](crate::runtime::Outbound): spawns a task per call |
 //! | `attempt`, `completion` | the steps of an attempt, and the report of its result |
 //! | `forward`, `write_guard` | builds the forwarded request, and checks before each write of it |
-//! | `response`, `event_stream`, `event_kind` | classifies responses, and validates event streams |
+//! | `response` | classifies responses |
+//! | `event_stream`, `event_validator`, `event_kind` | validate event streams, and tell which events are progress |
 //! | `stream`, `stream_progress`, `stream_tail` | the relay of a stream to the client |
 //! | `call` | unary calls outside of attempts, used by `release`, `slot`, `health` and `stream` |
 //! | `release`, `slot`, `health` | cache releases, slot reservations and health checks |
@@ -24,6 +25,7 @@
 mod connection;
 mod event_kind;
 mod event_stream;
+mod event_validator;
 mod forward;
 mod health;
 mod load_report;
--- a/src/net/upstream/response.rs
+++ b/src/net/upstream/response.rs
@@ -3,10 +3,9 @@
 use crate::interface::{Outcome, Stage};
 use crate::net::upstream::call::read_body;
 use crate::net::upstream::completion::ConnectionDisposition;
-use crate::net::upstream::event_stream::{EventStream, EventStreamError, EventValidation};
+use crate::net::upstream::event_stream::{EventStream, EventStreamError, EventValidation, StreamPart};
 use crate::net::upstream::load_report;
 use crate::runtime::AttemptResult;
-use bytes::Bytes;
 use hyper::body::{Body, Incoming};
 use hyper::http::response::Parts;
 use hyper::{HeaderMap, Response, StatusCode};
@@ -48,8 +47,8 @@
 
 /// A stream whose first event has arrived.
 pub(super) struct OpenedStream {
-    /// All bytes up to the end of the first event, including comments before it.
-    pub first_event: Bytes,
+    /// The part with the first event, and all comments before it.
+    pub first_event: StreamPart,
     /// The rest of the stream.
     pub events: EventStream,
     pub content_type: Option<String>,
--- a/src/net/upstream/stream.rs
+++ b/src/net/upstream/stream.rs
@@ -87,8 +87,7 @@
         tail: StreamTail::new(),
         progress: StreamProgress::new(),
     };
-    let first = StreamPart { bytes: first_event, has_event: true, output_events: 1 };
-    relay.run(first).await.map_err(|error| relay.record_error(&error))
+    relay.run(first_event).await.map_err(|error| relay.record_error(&error))
 }
 
 /// The relay of one stream.
--- a/src/net/upstream/stream_progress.rs
+++ b/src/net/upstream/stream_progress.rs
@@ -32,8 +32,8 @@
 
     /// Records a part that was received.
     pub fn record(&mut self, part: &StreamPart) {
-        if part.output_events > 0 {
-            self.events += part.output_events;
+        self.events += part.output_events;
+        if part.has_progress {
             self.restart();
         } else {
             self.bytes_since_output += part.bytes.len();
