Limit what a stream may bring without output, and count silence from the last output

What callers saw: a client that reads slowly was left on a stream of comments for as long as it stayed.

Cause: the time for which a part waited for its client was taken from the worker's silence, for comments, too. A worker that sends comments at full speed makes nearly all time such waiting, so the timeout moved on with the clock.

Silence counts from the arrival of the last output; after its client has held it up, a stream is read for another 0.5 s, since what the worker sent meanwhile has not been read.

--- a/src/net/upstream/stream.rs
+++ b/src/net/upstream/stream.rs
@@ -6,13 +6,13 @@
 use crate::net::upstream::completion::ConnectionDisposition;
 use crate::net::upstream::event_stream::{EventStream, EventStreamError, StreamPart};
 use crate::net::upstream::response::OpenedStream;
-use crate::net::upstream::stream_progress::{OUTPUT_TIMEOUT, StreamProgress};
+use crate::net::upstream::stream_progress::{EndlessStream, OUTPUT_TIMEOUT, StreamProgress};
 use crate::net::upstream::stream_tail::StreamTail;
 use crate::rules::close::CLIENT_WRITE_TIMEOUT;
 use crate::runtime::exchange::{Frame, Reply, ResponseStreamSender, response_stream};
 use crate::runtime::{Attempt, AttemptResult, DriverInput};
 use std::time::Duration;
-use tokio::time::Instant;
+use tokio::sync::mpsc::error::TrySendError;
 use tower::Service;
 
 /// The time within which the worker must accept a reply.
@@ -27,6 +27,9 @@
     /// The connection failed, or the body contains something other than events.
     #[error("{0}")]
     Corrupted(#[from] EventStreamError),
+    /// The worker sends more than an answer may contain.
+    #[error("{0}")]
+    Endless(#[from] EndlessStream),
     /// The body ended without the end marker of an event stream, or the connection closed before the end of
     /// another body.
     #[error("ended before its end marker")]
@@ -46,9 +49,10 @@
     /// The outcome of the attempt. Only a stream that its worker broke is held against the worker.
     fn outcome(&self) -> Outcome {
         match self {
-            StreamError::OutputTimeout | StreamError::Corrupted(_) | StreamError::Truncated => {
-                Outcome::ConnectionLost
-            }
+            StreamError::OutputTimeout
+            | StreamError::Corrupted(_)
+            | StreamError::Endless(_)
+            | StreamError::Truncated => Outcome::ConnectionLost,
             StreamError::ClientDisconnected | StreamError::ClientWriteTimeout | StreamError::Cancelled => {
                 Outcome::Cancelled
             }
@@ -120,16 +124,24 @@
     /// worker and does not use more memory.
     async fn forward(&mut self, part: StreamPart) -> Result<(), StreamError> {
         self.tail.push(&part.bytes);
-        self.progress.record(&part);
-        let started = Instant::now();
-        let sending = self.sender.frames.send(Frame::Data(part.bytes));
-        match tokio::time::timeout(CLIENT_WRITE_TIMEOUT, sending).await {
-            // The time spent on sending to a slow client does not count against the worker.
-            Ok(Ok(())) => self.progress.extend(started.elapsed()),
-            Ok(Err(_)) => return Err(StreamError::ClientDisconnected),
-            Err(_) => return Err(StreamError::ClientWriteTimeout),
+        self.progress.record(&part)?;
+        match self.sender.frames.try_send(Frame::Data(part.bytes)) {
+            Ok(()) => Ok(()),
+            Err(TrySendError::Closed(_)) => Err(StreamError::ClientDisconnected),
+            Err(TrySendError::Full(frame)) => self.wait_for_client(frame).await,
+        }
+    }
+
+    /// Sends a frame to a client that holds up the stream.
+    async fn wait_for_client(&mut self, frame: Frame) -> Result<(), StreamError> {
+        match tokio::time::timeout(CLIENT_WRITE_TIMEOUT, self.sender.frames.send(frame)).await {
+            Ok(Ok(())) => {
+                self.progress.record_resumption();
+                Ok(())
+            }
+            Ok(Err(_)) => Err(StreamError::ClientDisconnected),
+            Err(_) => Err(StreamError::ClientWriteTimeout),
         }
-        Ok(())
     }
 
     /// Waits for the next part and delivers replies in the meantime; `None` at the end of a complete stream.
--- a/src/net/upstream/stream_progress.rs
+++ b/src/net/upstream/stream_progress.rs
@@ -1,9 +1,9 @@
-//! The progress of a worker's response stream.
+//! The progress of a worker's response stream, and the limits without which a stream may never end.
 //!
 //! Only output of the model is progress. A worker that hangs may still send comments, blank lines or events
-//! without output.
+//! without output, at any speed.
 
-use crate::net::upstream::event_stream::StreamPart;
+use crate::net::upstream::event_stream::{MAX_EVENT_BYTES, StreamPart};
 use std::fmt;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -12,32 +12,52 @@
 /// connection is open: a host that has failed sends no reset. It is shorter than the 5 s after which clients
 /// give up.
 pub(super) const OUTPUT_TIMEOUT: Duration = Duration::from_millis(4500);
+/// The time for which a stream is read after its client has held it up, before the worker counts as silent:
+/// what the worker sent meanwhile has not been read.
+const RESUME_GRACE: Duration = Duration::from_millis(500);
+/// The maximum number of bytes between two events with output: as many as an event may have.
+const MAX_BYTES_WITHOUT_OUTPUT: usize = MAX_EVENT_BYTES;
+
+/// Why a stream is given up as endless.
+#[derive(Debug, thiserror::Error, PartialEq, Eq)]
+pub(super) enum EndlessStream {
+    /// More than [`MAX_BYTES_WITHOUT_OUTPUT`] arrived without an event with output.
+    #[error("no output in {MAX_BYTES_WITHOUT_OUTPUT} bytes")]
+    NoOutput,
+}
 
 /// What a stream has brought so far.
 pub(super) struct StreamProgress {
     /// The number of events with output so far.
     events: u64,
-    /// When the current [`OUTPUT_TIMEOUT`] began: at the last output. Time in which the relay waited for a
-    /// slow client, or the worker for a reply, does not count and moves it on.
     last_output_at: Instant,
-    /// The number of bytes that were received since the last output.
+    /// The number of bytes that were received since then.
     bytes_since_output: usize,
+    /// When the client last took a part that it had held up.
+    resumed_at: Option<Instant>,
 }
 
 impl StreamProgress {
     /// The progress of a stream that begins now.
     pub fn new() -> Self {
-        StreamProgress { events: 0, last_output_at: Instant::now(), bytes_since_output: 0 }
+        StreamProgress { events: 0, last_output_at: Instant::now(), bytes_since_output: 0, resumed_at: None }
     }
 
     /// Records a part that was received.
-    pub fn record(&mut self, part: &StreamPart) {
+    ///
+    /// # Errors
+    /// The stream exceeds a limit that every answer keeps.
+    pub fn record(&mut self, part: &StreamPart) -> Result<(), EndlessStream> {
         self.events += part.output_events;
         if part.has_progress {
             self.restart();
         } else {
             self.bytes_since_output += part.bytes.len();
         }
+        if self.bytes_since_output > MAX_BYTES_WITHOUT_OUTPUT {
+            return Err(EndlessStream::NoOutput);
+        }
+        Ok(())
     }
 
     /// Restarts the timeout, because the worker has waited for the router.
@@ -46,22 +66,26 @@
         self.bytes_since_output = 0;
     }
 
-    /// Extends the timeout by time in which the worker was not read because the client held up the stream.
-    pub fn extend(&mut self, duration: Duration) {
-        self.last_output_at += duration;
+    /// Records that the client has taken a part that it had held up, while the worker was not read.
+    pub fn record_resumption(&mut self) {
+        self.resumed_at = Some(Instant::now());
     }
 
     /// When the stream counts as broken if no more output arrives.
     pub fn deadline(&self) -> Instant {
-        self.last_output_at + OUTPUT_TIMEOUT
+        let deadline = self.last_output_at + OUTPUT_TIMEOUT;
+        self.resumed_at.map_or(deadline, |resumed_at| deadline.max(resumed_at + RESUME_GRACE))
     }
 }
 
 /// For the log.
 impl fmt::Display for StreamProgress {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let StreamProgress { events, last_output_at, bytes_since_output } = self;
+        let StreamProgress { events, last_output_at, bytes_since_output, .. } = self;
         let elapsed = last_output_at.elapsed().as_millis();
         write!(f, "{events} events with output, the last {elapsed} ms ago, {bytes_since_output} bytes since")
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/tests/streams.rs
+++ b/tests/streams.rs
@@ -203,3 +203,27 @@
         "{line}"
     );
 }
+
+/// Guards against a stream that is broken off because its client holds it up for longer than a worker may be
+/// silent.
+#[test]
+fn a_stream_that_its_client_holds_up_is_completed() {
+    const EVENTS: usize = 600;
+    const PAUSE: std::time::Duration = std::time::Duration::from_secs(6);
+    let text = "x".repeat(32 * 1024);
+    let decode = Peer::start(move |_, conn| {
+        conn.begin_stream();
+        for _ in 0..EVENTS {
+            conn.send_event(&text);
+        }
+        conn.end_stream();
+        true
+    });
+    let prefill = Peer::prefill_worker();
+    let router = RouterProcess::start(&operator_file(&[prefill.address], &[decode.address], ""));
+    let mut client = BufReader::new(router.connect());
+    client.get_mut().write_all(request("id-1", "send", "hello").as_bytes()).unwrap();
+    client.fill_buf().unwrap();
+    std::thread::sleep(PAUSE);
+    assert!(Message::read(&mut client).unwrap().is_complete);
+}
