Break a stream whose worker goes on after the end marker

What callers saw: a client that had its whole answer was left on a stream that repeats the end marker.

Cause: the marker was looked for only when the body had ended, in the last 512 bytes, so that whatever followed it was forwarded and counted as progress.

Change: the validator of events alone decides where a stream ends: an event behind the marker is an error, a body that ends without it is cut. The test of the tail's marker has moved to the validator, with its cases and three more; the test of the forwarded bytes compares what is left in the validator's buffer, as finish() now fails for its streams, which have no marker.

--- a/src/net/upstream/event_stream.rs
+++ b/src/net/upstream/event_stream.rs
@@ -6,7 +6,6 @@
 //! changed.
 
 use crate::net::upstream::event_validator::EventValidator;
-use crate::net::upstream::stream_tail::ends_with_end_marker;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -23,9 +22,12 @@
     /// A line is not valid in an event.
     #[error("invalid line in the event stream")]
     InvalidLine,
-    /// The body ended within an event.
-    #[error("the stream ended within an event")]
+    /// The body ended before the end marker of the stream.
+    #[error("the stream ended before its end marker")]
     Truncated,
+    /// An event follows the end marker.
+    #[error("an event follows the end marker")]
+    EventAfterEnd,
     /// An event, or the comments before the first event, exceed [`MAX_EVENT_BYTES`].
     #[error("event is longer than {MAX_EVENT_BYTES} bytes")]
     EventTooLong,
@@ -75,13 +77,14 @@
         Ok(None)
     }
 
-    /// Reads the next part, one or more complete events or comments; `None` at the end of the stream.
+    /// Reads the next part, one or more complete events or comments; `None` at the end of the stream, which is
+    /// complete if it is validated.
     ///
     /// Cancel safe: no data is lost if the future is dropped.
     ///
     /// # Errors
-    /// The body could not be read, a line is not valid in an event, an event is too long, or the stream ended
-    /// within one.
+    /// The body could not be read, a line is not valid in an event, an event is too long or follows the end
+    /// marker, or the stream ended before its end marker.
     pub async fn next_part(&mut self) -> Result<Option<StreamPart>, EventStreamError> {
         while let Some(frame) = self.body.frame().await {
             let Ok(data) = frame?.into_data() else { continue };
@@ -93,14 +96,12 @@
                 return Ok(Some(part));
             }
         }
-        // Only the end marker may lack its terminating blank line: any other event is cut.
-        let rest = self.validator.finish()?;
-        if rest.is_empty() {
-            Ok(None)
-        } else if ends_with_end_marker(&rest) {
-            Ok(Some(StreamPart::opaque(rest)))
-        } else {
-            Err(EventStreamError::Truncated)
+        match self.validation {
+            EventValidation::Enforced => {
+                let rest = self.validator.finish()?;
+                Ok(Some(rest).filter(|rest| !rest.bytes.is_empty()))
+            }
+            EventValidation::Skipped => Ok(None),
         }
     }
 
@@ -125,7 +126,7 @@
 }
 
 impl StreamPart {
-    /// A part whose content is not known, or is the end marker.
+    /// A part whose content is not known.
     fn opaque(bytes: Bytes) -> Self {
         StreamPart { bytes, has_event: true, has_progress: true, output_events: 0 }
     }
--- a/src/net/upstream/event_validator.rs
+++ b/src/net/upstream/event_validator.rs
@@ -13,13 +13,15 @@
     validated: usize,
     /// Whether an event in the format of an answer has arrived.
     is_answer: bool,
+    /// Whether the end marker has arrived.
+    has_ended: bool,
 }
 
 impl EventValidator {
     /// Appends `data`, and removes and returns all blocks that are now complete.
     ///
     /// # Errors
-    /// A line is not valid in an event, or an event is too long.
+    /// A line is not valid in an event, an event is too long, or it follows the end marker.
     pub fn push(&mut self, data: Bytes) -> Result<StreamPart, EventStreamError> {
         self.buffered.extend_from_slice(&data);
         let mut part = StreamPart::default();
@@ -34,7 +36,7 @@
             self.validated += length + 1;
             if ends_block {
                 let kind = EventKind::of_block(&self.buffered[complete..self.validated]);
-                self.record_block(kind, &mut part);
+                self.record_block(kind, &mut part)?;
                 complete = self.validated;
             }
         }
@@ -50,7 +52,10 @@
     ///
     /// A stream whose events are in a format of their own makes progress with each of them. Once it has proved
     /// to be an answer, only output is progress.
-    fn record_block(&mut self, kind: EventKind, part: &mut StreamPart) {
+    fn record_block(&mut self, kind: EventKind, part: &mut StreamPart) -> Result<(), EventStreamError> {
+        if self.has_ended && kind != EventKind::Empty {
+            return Err(EventStreamError::EventAfterEnd);
+        }
         part.has_event |= kind != EventKind::Empty;
         match kind {
             EventKind::Empty => {}
@@ -61,18 +66,31 @@
                 part.output_events += 1;
                 self.is_answer = true;
             }
-            EventKind::EndMarker => part.has_progress = true,
+            EventKind::EndMarker => {
+                part.has_progress = true;
+                self.has_ended = true;
+            }
         }
+        Ok(())
     }
 
-    /// Removes and returns the remaining bytes at the end of the stream.
+    /// Removes and returns the remaining bytes when the body has ended. The end of the body is not enough for
+    /// a stream to be complete: a chunk of size 0 in the middle of a stream ends the body, too.
     ///
     /// # Errors
-    /// The last line is not valid in an event.
-    pub fn finish(&mut self) -> Result<Bytes, EventStreamError> {
+    /// The last line is not valid in an event, or the stream ended before its end marker.
+    pub fn finish(&mut self) -> Result<StreamPart, EventStreamError> {
         let rest = self.buffered.split().freeze();
         let last_line = &rest[std::mem::take(&mut self.validated)..];
-        if is_valid_line(last_line) { Ok(rest) } else { Err(EventStreamError::InvalidLine) }
+        if !is_valid_line(last_line) {
+            return Err(EventStreamError::InvalidLine);
+        }
+        let mut part = StreamPart::default();
+        let kind = EventKind::of_block(&rest);
+        self.record_block(kind, &mut part)?;
+        part.bytes = rest;
+        // Only the end marker may lack its terminating blank line: any other event is cut.
+        if self.has_ended { Ok(part) } else { Err(EventStreamError::Truncated) }
     }
 }
 
--- a/src/net/upstream/event_validator/tests.rs
+++ b/src/net/upstream/event_validator/tests.rs
@@ -27,7 +27,7 @@
         assert!(forwarded.ends_with(b"\n") || forwarded.is_empty());
         if !corrupted {
             assert_eq!(forwarded, stream.strip_suffix(incomplete).unwrap().as_bytes(), "cut at {cut}");
-            assert_eq!(validator.finish().unwrap(), incomplete);
+            assert_eq!(validator.buffered, incomplete);
         }
     }
 }
@@ -56,3 +56,20 @@
     assert_eq!(progress(&["one", OUTPUT, "two", OUTPUT]), [true, true, false, true]);
     assert_eq!(progress(&[NO_OUTPUT, "two", OUTPUT, "[DONE]"]), [false, false, true, true]);
 }
+
+#[rstest]
+#[case::end_marker("data: {}\n\ndata: [DONE]\n\n", true)]
+#[case::end_marker_without_blank_line("data: [DONE]", true)]
+#[case::end_marker_without_space("data: {}\r\n\r\ndata:[DONE]\r\n\r\n", true)]
+#[case::comment_after_the_end_marker("data: {}\n\ndata: [DONE]\n\n: bye\n\n", true)]
+#[case::no_end_marker("data: {}\n\n", false)]
+#[case::end_marker_within_a_line("data: see data: [DONE]\n\n", false)]
+#[case::second_end_marker("data: [DONE]\n\ndata: [DONE]\n\n", false)]
+#[case::second_end_marker_without_blank_line("data: [DONE]\n\ndata: [DONE]", false)]
+#[case::comment_without_blank_line_after_the_end_marker("data: [DONE]\n\n: bye", true)]
+#[case::end_marker_before_the_end("data: [DONE]\n\ndata: {}\n\n", false)]
+fn a_stream_is_complete_if_it_ends_with_the_end_marker(#[case] stream: &'static str, #[case] expected: bool) {
+    let mut validator = EventValidator::default();
+    let is_complete = validator.push(stream.into()).is_ok() && validator.finish().is_ok();
+    assert_eq!(is_complete, expected);
+}
--- a/src/net/upstream/stream.rs
+++ b/src/net/upstream/stream.rs
@@ -30,9 +30,8 @@
     /// The worker sends more than an answer may contain.
     #[error("{0}")]
     Endless(#[from] EndlessStream),
-    /// The body ended without the end marker of an event stream, or the connection closed before the end of
-    /// another body.
-    #[error("ended before its end marker")]
+    /// The connection closed before the end of a body that is not an event stream.
+    #[error("the connection closed before the end of the body")]
     Truncated,
     /// The client closed its connection.
     #[error("the client disconnected")]
@@ -162,10 +161,10 @@
                 received = tokio::time::timeout_at(output_deadline, self.events.next_part()) => {
                     match received {
                         Ok(Ok(Some(part))) => return Ok(Some(part)),
-                        Ok(Ok(None)) if self.is_complete() => return Ok(None),
+                        Ok(Ok(None)) if self.may_be_truncated() => return Err(StreamError::Truncated),
+                        Ok(Ok(None)) => return Ok(None),
                         // A decode worker sends no events while it waits for the result of a tool call.
                         Err(_) if self.sender.awaiting_reply.get() => self.progress.restart(),
-                        Ok(Ok(None)) => return Err(StreamError::Truncated),
                         Ok(Err(error)) => return Err(error.into()),
                         Err(_) => return Err(StreamError::OutputTimeout),
                     }
@@ -174,10 +173,10 @@
         }
     }
 
-    /// Whether a stream that has ended is complete. Event streams have an end marker, and the end of the body
-    /// is not enough: a chunk of size 0 in the middle of a stream ends the body, too.
-    fn is_complete(&self) -> bool {
-        self.tail.ends_with_end_marker() || self.is_self_delimited && !self.events.is_validated()
+    /// Whether a stream whose body has ended may be incomplete: the end of a body that is neither validated nor
+    /// delimited can't be told from a lost connection.
+    fn may_be_truncated(&self) -> bool {
+        !self.events.is_validated() && !self.is_self_delimited
     }
 
     /// Why the driver cancelled the attempt: the driver, too, learns that a client has disconnected.
--- a/src/net/upstream/stream_tail.rs
+++ b/src/net/upstream/stream_tail.rs
@@ -1,8 +1,8 @@
-//! The last bytes of a stream, with its end marker and its usage report.
+//! The last bytes of a stream, with its usage report.
 
 use serde::Deserialize;
 
-/// The number of bytes kept from the end of a stream, to find the usage report and the end marker in.
+/// The number of bytes kept from the end of a stream, to find the usage report in.
 const TAIL_BYTES: usize = 512;
 
 /// The fields that are read from an event with a usage report.
@@ -21,13 +21,6 @@
     cached_tokens: f64,
 }
 
-/// Whether the last line that is neither blank nor a comment is the end marker of a stream.
-pub(super) fn ends_with_end_marker(stream: &[u8]) -> bool {
-    let mut lines = stream.rsplit(|byte| *byte == b'\n').map(<[u8]>::trim_ascii_end);
-    let last_field = lines.find(|line| !line.is_empty() && !line.starts_with(b":")).unwrap_or_default();
-    last_field.strip_prefix(b"data:").is_some_and(|data| data.trim_ascii_start() == b"[DONE]")
-}
-
 /// The last [`TAIL_BYTES`] of a stream.
 pub(super) struct StreamTail(Vec<u8>);
 
@@ -47,11 +40,6 @@
         }
     }
 
-    /// Whether the stream ends with its end marker.
-    pub fn ends_with_end_marker(&self) -> bool {
-        ends_with_end_marker(&self.0)
-    }
-
     /// The number of cached prompt tokens in the last usage report; 0 without a report.
     pub fn cached_tokens(&self) -> u64 {
         let text = String::from_utf8_lossy(&self.0);
--- a/src/net/upstream/stream_tail/tests.rs
+++ b/src/net/upstream/stream_tail/tests.rs
@@ -16,20 +16,6 @@
     assert_eq!(tail.0, stream[stream.len() - TAIL_BYTES..]);
 }
 
-#[rstest]
-#[case::end_marker("data: {}\n\ndata: [DONE]\n\n", true)]
-#[case::end_marker_without_blank_line("data: [DONE]", true)]
-#[case::end_marker_without_space("data: {}\r\n\r\ndata:[DONE]\r\n\r\n", true)]
-#[case::comment_after_the_end_marker("data: {}\n\ndata: [DONE]\n\n: bye\n\n", true)]
-#[case::no_end_marker("data: {}\n\n", false)]
-#[case::end_marker_within_a_line("data: see data: [DONE]\n\n", false)]
-#[case::end_marker_before_the_end("data: [DONE]\n\ndata: {}\n\n", false)]
-fn a_stream_is_complete_if_it_ends_with_the_end_marker(#[case] stream: &str, #[case] expected: bool) {
-    let mut tail = StreamTail::new();
-    tail.push(stream.as_bytes());
-    assert_eq!(tail.ends_with_end_marker(), expected);
-}
-
 #[rstest]
 #[case::reported(r#"{"usage":{"prompt_tokens_details":{"cached_tokens":4}}}"#, 4)]
 #[case::no_usage(r#"{"choices":[]}"#, 0)]
