Limit the events of an answer by the tokens that were asked for

What callers saw: a client was left on an answer without an end.

Cause: nothing bounds a stream whose worker repeats itself: each event counts as progress, and a worker at full speed takes the router's CPU time and the client's link meanwhile.

Change: a client that states its largest output (max_out) gets at most twice as many events with output, and 64 more; then the stream is broken. An event carries a token at least. JSON-RPC streams have no such limit, since calls of tools are events, too.

--- a/src/frontend/jsonrpc/call.rs
+++ b/src/frontend/jsonrpc/call.rs
@@ -141,6 +141,8 @@
             target: chat_completions::PATH.to_owned(),
             headers: HeaderMap::from_iter([(CONTENT_TYPE, json)]),
             body: body.into(),
+            // A call of a tool is an event, too, and takes no tokens of the answer.
+            max_output_tokens: None,
             client: client.connection(),
             resources: None,
         }
--- a/src/frontend/service.rs
+++ b/src/frontend/service.rs
@@ -125,7 +125,7 @@
             return Err(RequestError::UnknownClass);
         }
         let mut reservation = MemoryReservation::new(self.context.request_memory.clone());
-        let head = ForwardedHead::new(head, &mut reservation)?;
+        let head = ForwardedHead::new(head, &parsed, &mut reservation)?;
         let body = read_body(body, client, reservation).await?;
         parsed.estimate_missing_prompt_length(body.bytes.len());
         check_can_be_submitted(client, shutdown)?;
@@ -164,16 +164,22 @@
 struct ForwardedHead {
     target: String,
     headers: HeaderMap,
+    max_output_tokens: Option<u64>,
 }
 
 impl ForwardedHead {
     /// Copies the parts from a head, and adds their memory to `reservation`.
-    fn new(head: Parts, reservation: &mut MemoryReservation) -> Result<Self, BudgetExhausted> {
+    fn new(
+        head: Parts,
+        parsed: &ParsedRequest,
+        reservation: &mut MemoryReservation,
+    ) -> Result<Self, BudgetExhausted> {
         let target = head.uri.path_and_query().map_or(chat_completions::PATH, |target| target.as_str());
         let target = target.to_owned();
         let headers = chat_completions::end_to_end_headers(head.headers);
         reservation.grow(target.len() + chat_completions::header_memory(&headers))?;
-        Ok(ForwardedHead { target, headers })
+        let max_output_tokens = Some(parsed.spec.max_tokens).filter(|tokens| *tokens > 0);
+        Ok(ForwardedHead { target, headers, max_output_tokens })
     }
 }
 
@@ -191,6 +197,7 @@
         target: head.target,
         headers: head.headers,
         body: body.bytes,
+        max_output_tokens: head.max_output_tokens,
         client: client.connection(),
         resources: Some(resources),
     }
--- a/src/net/upstream/stream.rs
+++ b/src/net/upstream/stream.rs
@@ -80,6 +80,7 @@
     let OpenedStream { first_event, events, content_type, is_self_delimited } = stream;
     let (sender, response) = response_stream(content_type);
     let (request, index) = (attempt.request, attempt.index);
+    let max_output_tokens = attempt.forwarded.max_output_tokens;
     client.driver.submit(DriverInput::StreamStarted { request, attempt: index, stream: response });
     let mut relay = StreamRelay {
         client,
@@ -88,7 +89,7 @@
         is_self_delimited,
         sender,
         tail: StreamTail::new(),
-        progress: StreamProgress::new(),
+        progress: StreamProgress::new(max_output_tokens),
     };
     relay.run(first_event).await.map_err(|error| relay.record_error(&error))
 }
--- a/src/net/upstream/stream_progress.rs
+++ b/src/net/upstream/stream_progress.rs
@@ -18,16 +18,26 @@
 /// The maximum number of bytes between two events with output: as many as an event may have.
 const MAX_BYTES_WITHOUT_OUTPUT: usize = MAX_EVENT_BYTES;
 
+/// The number of events with output that an answer may have for each of the tokens that were asked for.
+const EVENTS_PER_TOKEN: u64 = 2;
+/// The number of further events, such as those that begin and finish an answer.
+const EXTRA_EVENTS: u64 = 64;
+
 /// Why a stream is given up as endless.
 #[derive(Debug, thiserror::Error, PartialEq, Eq)]
 pub(super) enum EndlessStream {
     /// More than [`MAX_BYTES_WITHOUT_OUTPUT`] arrived without an event with output.
     #[error("no output in {MAX_BYTES_WITHOUT_OUTPUT} bytes")]
     NoOutput,
+    /// The answer has more events than tokens were asked for.
+    #[error("more than {0} events with output")]
+    TooManyEvents(u64),
 }
 
 /// What a stream has brought so far.
 pub(super) struct StreamProgress {
+    /// The maximum number of events with output.
+    max_events: u64,
     /// The number of events with output so far.
     events: u64,
     last_output_at: Instant,
@@ -38,9 +48,17 @@
 }
 
 impl StreamProgress {
-    /// The progress of a stream that begins now.
-    pub fn new() -> Self {
-        StreamProgress { events: 0, last_output_at: Instant::now(), bytes_since_output: 0, resumed_at: None }
+    /// The progress of a stream that begins now. The number of its events is limited if `max_output_tokens` is
+    /// known.
+    pub fn new(max_output_tokens: Option<u64>) -> Self {
+        let max_events = |tokens: u64| tokens.saturating_mul(EVENTS_PER_TOKEN).saturating_add(EXTRA_EVENTS);
+        StreamProgress {
+            max_events: max_output_tokens.map_or(u64::MAX, max_events),
+            events: 0,
+            last_output_at: Instant::now(),
+            bytes_since_output: 0,
+            resumed_at: None,
+        }
     }
 
     /// Records a part that was received.
@@ -54,6 +72,9 @@
         } else {
             self.bytes_since_output += part.bytes.len();
         }
+        if self.events > self.max_events {
+            return Err(EndlessStream::TooManyEvents(self.max_events));
+        }
         if self.bytes_since_output > MAX_BYTES_WITHOUT_OUTPUT {
             return Err(EndlessStream::NoOutput);
         }
--- a/src/net/upstream/stream_progress/tests.rs
+++ b/src/net/upstream/stream_progress/tests.rs
@@ -15,7 +15,7 @@
 /// silent for all that time.
 #[tokio::test(start_paused = true)]
 async fn the_timeout_counts_from_the_arrival_of_output() {
-    let mut progress = StreamProgress::new();
+    let mut progress = StreamProgress::new(None);
     advance(SECOND).await;
     progress.record(&part(10, 1)).unwrap();
     let arrival = Instant::now();
@@ -31,7 +31,7 @@
 /// Guards against a flood that ends no earlier than its timeout, which a slow client extends.
 #[tokio::test(start_paused = true)]
 async fn bytes_without_output_are_limited() {
-    let mut progress = StreamProgress::new();
+    let mut progress = StreamProgress::new(None);
     for _ in 0..2 {
         progress.record(&part(MAX_BYTES_WITHOUT_OUTPUT, 0)).unwrap();
         progress.record(&part(2 * MAX_BYTES_WITHOUT_OUTPUT, 1)).unwrap();
@@ -39,3 +39,14 @@
     progress.record(&part(MAX_BYTES_WITHOUT_OUTPUT, 0)).unwrap();
     assert_eq!(progress.record(&part(1, 0)), Err(EndlessStream::NoOutput));
 }
+
+#[tokio::test(start_paused = true)]
+async fn events_with_output_are_limited_by_the_tokens_that_were_asked_for() {
+    const MAX_EVENTS: u64 = 10 * EVENTS_PER_TOKEN + EXTRA_EVENTS;
+    let mut limited = StreamProgress::new(Some(10));
+    limited.record(&part(10, MAX_EVENTS)).unwrap();
+    limited.record(&part(10, 0)).unwrap();
+    assert_eq!(limited.record(&part(10, 1)), Err(EndlessStream::TooManyEvents(MAX_EVENTS)));
+    let mut unlimited = StreamProgress::new(None);
+    assert_eq!(unlimited.record(&part(10, 1_000_000)), Ok(()));
+}
--- a/src/runtime/exchange/request.rs
+++ b/src/runtime/exchange/request.rs
@@ -18,6 +18,8 @@
     pub headers: HeaderMap,
     /// The complete body of the request to a worker.
     pub body: SegmentedBytes,
+    /// The number of tokens that the answer may have; `None` if the client does not state it.
+    pub max_output_tokens: Option<u64>,
     /// Tells whether the client that sent the request has disconnected.
     pub client: ClientConnection,
     /// Resources that the request occupies, such as its id and its share of memory. They are freed with the
--- a/src/runtime/fixtures.rs
+++ b/src/runtime/fixtures.rs
@@ -26,6 +26,7 @@
         target: String::new(),
         headers: Default::default(),
         body: Default::default(),
+        max_output_tokens: None,
         client: Default::default(),
         resources: None,
     }
--- a/tests/attempts/harness.rs
+++ b/tests/attempts/harness.rs
@@ -131,6 +131,7 @@
         target: "/".into(),
         headers: Default::default(),
         body: Bytes::from("hello").into(),
+        max_output_tokens: None,
         client: ClientConnection::default(),
         resources: None,
     }
--- a/tests/support/driver.rs
+++ b/tests/support/driver.rs
@@ -103,6 +103,7 @@
         target: String::new(),
         headers: Default::default(),
         body: Default::default(),
+        max_output_tokens: None,
         client: Default::default(),
         resources: None,
     }
