Recognise event streams by their media type, and take a body without one for a stream

What callers saw: a client was left waiting on a stream of which nothing more came but blank lines.

Cause: a body was validated only if its content type begins with text/event-stream in lower case. Without a content type, or with one that can't be read, any byte counted as an event.

Change: media types are compared without their case and parameters, and a response without one is an event stream, as that is what a decode asks for. A body of another type is forwarded as before.

--- a/src/net/upstream/event_stream.rs
+++ b/src/net/upstream/event_stream.rs
@@ -10,6 +10,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
+const EVENT_STREAM_MEDIA_TYPE: &str = "text/event-stream";
 /// The maximum length of an event, and of the comments before the first event.
 pub(super) const MAX_EVENT_BYTES: usize = 128 * 1024;
 
@@ -42,6 +43,19 @@
     Skipped,
 }
 
+impl EventValidation {
+    /// The validation of a body with this content type. A body without a content type is an event stream, as
+    /// the request asked for one.
+    pub fn for_content_type(content_type: Option<&str>) -> Self {
+        let media_type = content_type.and_then(|value| value.split(';').next()).map_or("", str::trim);
+        if media_type.is_empty() || media_type.eq_ignore_ascii_case(EVENT_STREAM_MEDIA_TYPE) {
+            EventValidation::Enforced
+        } else {
+            EventValidation::Skipped
+        }
+    }
+}
+
 /// The event stream of one response.
 pub struct EventStream {
     body: Incoming,
@@ -131,3 +145,6 @@
         StreamPart { bytes, has_event: true, has_progress: true, output_events: 0 }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/net/upstream/response.rs
+++ b/src/net/upstream/response.rs
@@ -141,11 +141,7 @@
         let is_self_delimited = is_chunked || body.size_hint().exact().is_some();
         let content_type = headers.get("content-type").and_then(|value| value.to_str().ok());
         let content_type = content_type.map(str::to_owned);
-        let validation = match &content_type {
-            Some(name) if name.starts_with("text/event-stream") => EventValidation::Enforced,
-            _ => EventValidation::Skipped,
-        };
-        let mut events = EventStream::new(body, validation);
+        let mut events = EventStream::new(body, EventValidation::for_content_type(content_type.as_deref()));
         match events.first_event().await? {
             Some(first_event) => {
                 let stream = OpenedStream { first_event, events, content_type, is_self_delimited };
