Limit the bytes that a worker may send before its response begins

What callers saw: a worker that sends informational responses at full speed delays the final response of its request, and with it everything else that the router does.

Cause: hyper skips informational responses in a loop and limits each head, but not their number.

The monitor of a socket sees reads as well and is called TransferMonitor.

--- a/src/net/server/gated_socket.rs
+++ b/src/net/server/gated_socket.rs
@@ -16,8 +16,8 @@
 /// Never reads past the end of the request being received, and reports reads and blocked writes to the
 /// [`ClientSocket`].
 ///
-/// The type wraps a [`Socket`] instead of using a [`WriteMonitor`](crate::net::socket::WriteMonitor), since a
-/// monitor observes neither reads nor pending writes.
+/// The type wraps a [`Socket`] instead of using a [`TransferMonitor`](crate::net::socket::TransferMonitor), since a
+/// monitor can't limit a read, and observes no pending writes.
 pub struct GatedSocket {
     socket: Socket,
     client: Rc<ClientSocket>,
--- a/src/net/socket.rs
+++ b/src/net/socket.rs
@@ -94,8 +94,8 @@
     }
 }
 
-/// Observes the writes of a [`Socket`], and may prevent them.
-pub trait WriteMonitor {
+/// Observes the reads and writes of a [`Socket`], and may make them fail.
+pub trait TransferMonitor {
     /// Called before each write, in the same poll: no other task runs between this call and the write.
     ///
     /// # Errors
@@ -104,17 +104,27 @@
 
     /// Called after a write; the kernel has accepted the first `written` bytes of `buffers`.
     fn after_write(&self, buffers: &[IoSlice<'_>], written: usize);
+
+    /// Called after a read of `length` bytes.
+    ///
+    /// # Errors
+    /// The peer sends more than it may. The read fails with this error.
+    fn after_read(&self, length: usize) -> io::Result<()>;
 }
 
 /// A monitor that does nothing.
 pub struct Unmonitored;
 
-impl WriteMonitor for Unmonitored {
+impl TransferMonitor for Unmonitored {
     fn before_write(&self, _: &TcpStream) -> io::Result<()> {
         Ok(())
     }
 
     fn after_write(&self, _: &[IoSlice<'_>], _: usize) {}
+
+    fn after_read(&self, _: usize) -> io::Result<()> {
+        Ok(())
+    }
 }
 
 /// One of the owners of a shared TCP stream, which closes when its last owner is dropped.
@@ -125,14 +135,14 @@
 }
 
 impl Socket {
-    /// Creates an owner of this stream whose writes are not monitored.
+    /// Creates an owner of this stream that is not monitored.
     pub fn new(stream: Rc<TcpStream>) -> Self {
         Socket::with_monitor(stream, Unmonitored)
     }
 }
 
 impl<M> Socket<M> {
-    /// Creates an owner of this stream whose writes are reported to `monitor`.
+    /// Creates an owner of this stream whose reads and writes are reported to `monitor`.
     pub fn with_monitor(stream: Rc<TcpStream>, monitor: M) -> Self {
         Socket { stream, monitor, shortage: LocalShortage::default() }
     }
@@ -218,18 +228,20 @@
     }
 }
 
-impl<M: Unpin> AsyncRead for Socket<M> {
+impl<M: TransferMonitor + Unpin> AsyncRead for Socket<M> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let limit = buf.remaining();
-        self.poll_read_up_to(cx, buf, limit)
+        let filled = buf.filled().len();
+        ready!(self.poll_read_up_to(cx, buf, limit))?;
+        Poll::Ready(self.monitor.after_read(buf.filled().len() - filled))
     }
 }
 
-impl<M: WriteMonitor + Unpin> AsyncWrite for Socket<M> {
+impl<M: TransferMonitor + Unpin> AsyncWrite for Socket<M> {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         self.poll_write_vectored(cx, &[IoSlice::new(buf)])
     }
--- a/src/net/upstream/connection.rs
+++ b/src/net/upstream/connection.rs
@@ -160,6 +160,7 @@
         self.awaits_response = true;
         let response = self.sender.send_request(request).await;
         self.awaits_response = false;
+        self.progress.begin_response();
         response
     }
 
--- a/tests/endless_streams.rs
+++ b/tests/endless_streams.rs
@@ -209,3 +209,61 @@
     assert!(client_wait <= WAIT_LIMIT, "the client waited for {client_wait:?}");
     assert!(worker_wait <= WAIT_LIMIT, "the worker's connection stayed open for {worker_wait:?}");
 }
+
+/// The time that the client of an unanswered request waits, and the rule's slack.
+const DEADLINE: Duration = Duration::from_millis(1_500);
+const ANSWER_SLACK: Duration = Duration::from_millis(500);
+
+/// Sends a request with [`DEADLINE`] to a router whose workers respond like this, and returns the status of the
+/// response, 0 without one, and when it arrived.
+fn request_with_endless_responses(
+    prefill: &'static str,
+    decode: &'static str,
+    speed: Speed,
+    class: &str,
+) -> (u16, Duration) {
+    let start_worker = |response: &'static str| {
+        Peer::start(move |message, conn| {
+            if message.start_line.starts_with("DELETE") {
+                conn.respond("204 No Content", "", "");
+                return true;
+            }
+            let Some((prefix, repeated)) = response.split_once("{REPEATED}") else {
+                let _ = conn.stream.write_all(response.as_bytes());
+                return true;
+            };
+            EndlessTail { prefix, repeated: repeated.to_owned(), speed }.send(conn);
+            false
+        })
+    };
+    let (prefill, decode) = (start_worker(prefill), start_worker(decode));
+    let router = RouterProcess::start(&operator_file(&[prefill.address], &[decode.address], ""));
+    let request = request("id-1", class, "hello").replace("8000m", "1500m");
+    let started = Instant::now();
+    let response = router.send_raw(request.as_bytes());
+    (response.status(), started.elapsed())
+}
+
+const PREFILL_RESPONSE: &str = "HTTP/1.1 202 Accepted\r\ncontent-length: 19\r\n\r\n{\"cached_tokens\": 4}";
+
+/// Guards against a request without a final response because its worker's response neither begins nor ends.
+#[rstest]
+#[case::informational_responses("{REPEATED}HTTP/1.1 103 Early Hints\r\n\r\n")]
+#[case::head("HTTP/1.1 200 OK\r\n{REPEATED}x-a: b\r\n")]
+#[case::status_line("HTTP/1.1 200 {REPEATED}OK")]
+#[case::comments("{HEAD}{REPEATED}8\r\n: ping\n\n\r\n")]
+#[case::events_without_data("{HEAD}{REPEATED}7\r\ndata:\n\n\r\n")]
+#[case::half_an_event("{HEAD}7\r\ndata: {\r\n{REPEATED}1\r\n \r\n")]
+#[case::line_ends("{REPEATED}\r\n")]
+fn an_endless_response_leaves_no_request_unanswered(
+    #[case] response: &str,
+    #[values(Speed::Full, Speed::Slow)] speed: Speed,
+    #[values("send", "explain")] class: &str,
+    #[values(true, false)] is_prefill: bool,
+) {
+    let response: &'static str = response.replace("{HEAD}", EVENT_STREAM_HEAD).leak();
+    let (prefill, decode) = if is_prefill { (response, "") } else { (PREFILL_RESPONSE, response) };
+    let (status, elapsed) = request_with_endless_responses(prefill, decode, speed, class);
+    assert!(matches!(status, 502 | 503), "status {status}");
+    assert!(elapsed <= DEADLINE + ANSWER_SLACK, "answered after {elapsed:?}");
+}
