--- a/src/policy/feedback.rs
+++ b/src/policy/feedback.rs
@@ -62,7 +62,7 @@
             Outcome::Rejected => {
                 let until = self.now + REJECTION_PERIOD;
                 if let Some(worker) = self.membership.activity_mut(&attempt.worker) {
-                    worker.record_rejection(ended.traffic.clone(), until);
+                    worker.record_rejection(ended.traffic.clone(), self.now, until);
                 }
             }
             Outcome::TimedOut => self.timed_out(ended),
--- a/src/policy/worker.rs
+++ b/src/policy/worker.rs
@@ -34,6 +34,10 @@
     }
 }
 
+/// The maximum number of classes and tenants whose rejections are recorded for a worker, since clients may send
+/// ever new names of tenants.
+const MAX_REJECTED_TRAFFIC: usize = 64;
+
 /// The request class and tenant to which a rejection by a worker applies.
 #[derive(Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct TrafficKey {
@@ -68,8 +72,13 @@
 
     /// Records that the worker rejected a request of this class and tenant. It counts as rejecting such
     /// requests until `until`; other requests may still be sent to it.
-    pub fn record_rejection(&mut self, traffic: TrafficKey, until: Micros) {
-        self.rejecting_until.insert(traffic, until);
+    pub fn record_rejection(&mut self, traffic: TrafficKey, now: Micros, until: Micros) {
+        if self.rejecting_until.len() >= MAX_REJECTED_TRAFFIC {
+            self.rejecting_until.retain(|_, until| *until > now);
+        }
+        if self.rejecting_until.len() < MAX_REJECTED_TRAFFIC || self.rejecting_until.contains_key(&traffic) {
+            self.rejecting_until.insert(traffic, until);
+        }
     }
 
     /// Whether the worker has recently rejected a request of this class and tenant.
--- a/tests/floods.rs
+++ b/tests/floods.rs
@@ -79,6 +79,17 @@
     request(&format!("bad-{client}-{number}"), "send", &"x".repeat(100_000)).into_bytes()
 }
 
+/// A request of a known class with a session, a tenant and a prefix that no other request has.
+fn new_names(client: usize, number: u64) -> Vec<u8> {
+    let name = format!("{client}-{number}");
+    let fields = format!("x-tenant: t-{name}\r\nx-extras: prefix=p-{name},prefix_len=50,");
+    request(&format!("bad-{name}"), "explain", "hello").replace("x-extras: ", &fields).into_bytes()
+}
+
+fn malformed_deadline(client: usize, number: u64) -> Vec<u8> {
+    request(&format!("bad-{client}-{number}"), "explain", "hello").replace("8000m", "soon").into_bytes()
+}
+
 /// Guards against clients whose requests are answered at once and take all turns of the event loop: the streams
 /// of other clients are passed on seconds late, and their new requests are rejected.
 #[rstest]
@@ -87,6 +98,9 @@
 #[case::one_at_a_time(300, 1, unknown_class)]
 #[case::large_bodies(150, 10, large_body_of_an_unknown_class)]
 #[case::large_bodies_of_a_known_class(150, 10, large_body_of_a_known_class)]
+#[case::one_connection(1, 10_000, unknown_class)]
+#[case::one_connection_with_malformed_requests(1, 10_000, malformed_deadline)]
+#[case::one_connection_with_new_names(1, 10_000, new_names)]
 fn a_flood_delays_no_stream_of_other_clients(
     #[case] clients: usize,
     #[case] requests_at_once: usize,
