Keep the id of a request that its client left at a worker from being used again

What callers saw: a request ran twice when its id came again after its client had left, also one whose class must not run twice.

Cause: an id is free as soon as the attempts of its request have ended. A client that leaves ends them, but not what the worker runs.

Evidence: an_id_that_its_client_left_at_a_worker_is_not_run_again; before, the second request was forwarded and the worker received the id two (send) or three times (explain, with a retry).

An id that no worker has received, that was answered or whose stream is complete is free as before.

--- a/src/frontend/error.rs
+++ b/src/frontend/error.rs
@@ -1,6 +1,7 @@
 //! Errors of requests that are not submitted to the driver, and the responses to them.
 
 use crate::frontend::chat_completions::{self, InvalidHeader};
+use crate::frontend::request_ids::IdConflict;
 use crate::frontend::response_body::{ResponseBody, plain_text};
 use crate::interface::Micros;
 use crate::net::server::memory_budget::BudgetExhausted;
@@ -41,9 +42,9 @@
     /// The body is followed by bytes that can't begin another request.
     #[error("more bytes than the length says")]
     ExcessBytes,
-    /// Another active request has the same id.
-    #[error("a request with this id is active")]
-    DuplicateId,
+    /// The id can't be used.
+    #[error(transparent)]
+    DuplicateId(#[from] IdConflict),
     /// The heads and bodies of active requests use up their memory budget.
     #[error(transparent)]
     MemoryBudgetExhausted(#[from] BudgetExhausted),
@@ -61,8 +62,8 @@
 impl RequestError {
     /// Counts the error and builds the response to the client.
     ///
-    /// The response bodies are part of the protocol, where "in hand" means active and "refused" means
-    /// rejected.
+    /// The response bodies are part of the protocol, where "in hand" means active or abandoned and
+    /// "refused" means rejected.
     pub fn into_response(self, counters: &Counters) -> Response<ResponseBody> {
         let malformed = |status, text: Bytes| {
             counters.requests_malformed.increment();
@@ -85,7 +86,7 @@
             RequestError::ExcessBytes => {
                 malformed(StatusCode::BAD_REQUEST, "more bytes than the length says\n".into())
             }
-            RequestError::DuplicateId => {
+            RequestError::DuplicateId(_) => {
                 malformed(StatusCode::CONFLICT, "a request with this id is in hand\n".into())
             }
             RequestError::MemoryBudgetExhausted(_) | RequestError::TooManyPipelinedBytes => {
--- a/src/frontend/jsonrpc/call.rs
+++ b/src/frontend/jsonrpc/call.rs
@@ -9,7 +9,9 @@
 use crate::interface::{RequestId, RequestSpec};
 use crate::net::server::client_socket::ClientSocket;
 use crate::net::server::received_request::MAX_BODY_BYTES;
-use crate::runtime::exchange::{DisconnectGuard, FinalResponse, ForwardedRequest, ResponseStream};
+use crate::runtime::exchange::{
+    Abandonment, DisconnectGuard, FinalResponse, ForwardedRequest, ResponseStream,
+};
 use bytes::Bytes;
 use hyper::HeaderMap;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
@@ -144,6 +146,7 @@
             // A call of a tool is an event, too, and takes no tokens of the answer.
             max_output_tokens: None,
             client: client.connection(),
+            abandonment: Abandonment::default(),
             resources: None,
         }
     }
--- a/src/frontend/mod.rs
+++ b/src/frontend/mod.rs
@@ -9,5 +9,6 @@
 pub mod error;
 pub mod jsonrpc;
 pub mod request_body;
+pub mod request_ids;
 pub mod response_body;
 pub mod service;
--- a/src/frontend/service.rs
+++ b/src/frontend/service.rs
@@ -1,10 +1,11 @@
 //! The tower service for client requests: routes them by path, validates them and submits them to the driver.
 
 use crate::frontend::chat_completions::{self, ParsedRequest};
-use crate::frontend::context::{ActiveRequestId, ServiceContext};
+use crate::frontend::context::ServiceContext;
 use crate::frontend::error::{RETRY_AFTER, RequestError};
 use crate::frontend::jsonrpc::JsonRpcService;
 use crate::frontend::request_body::{RequestBody, read_body};
+use crate::frontend::request_ids::ActiveRequestId;
 use crate::frontend::response_body::{ResponseBody, plain_text};
 use crate::net::LocalBoxFuture;
 use crate::net::server::client_socket::ClientSocket;
@@ -129,8 +130,7 @@
         let body = read_body(body, client, reservation).await?;
         parsed.estimate_missing_prompt_length(body.bytes.len());
         check_can_be_submitted(client, shutdown)?;
-        let active_id = self.context.active_ids.claim(&parsed.id);
-        let active_id = active_id.ok_or(RequestError::DuplicateId)?;
+        let active_id = self.context.request_ids.claim(&parsed.id)?;
         log::debug!("request {}: received on connection {}", parsed.id, client.number());
         let ParsedRequest { id, spec, .. } = parsed;
         let pending = driver.submit_request(spec, forwarded_request(id, head, body, active_id, client));
@@ -191,6 +191,7 @@
     active_id: ActiveRequestId,
     client: &Rc<ClientSocket>,
 ) -> ForwardedRequest {
+    let abandonment = active_id.abandonment();
     let resources: Rc<dyn Any> = Rc::new(RequestResources { _id: active_id, _memory: body.reservation });
     ForwardedRequest {
         id,
@@ -199,6 +200,7 @@
         body: body.bytes,
         max_output_tokens: head.max_output_tokens,
         client: client.connection(),
+        abandonment,
         resources: Some(resources),
     }
 }
--- a/src/process/router.rs
+++ b/src/process/router.rs
@@ -175,7 +175,7 @@
             is_ready: Box::new(move || !is_stopping.get() && directory.can_serve(&worker_kinds)),
             counters: self.counters.clone(),
             request_memory: MemoryBudget::new(MemoryDivision::of(config.limits.memory_mb).requests),
-            active_ids: Rc::default(),
+            request_ids: Rc::default(),
         }
     }
 
@@ -201,7 +201,7 @@
     ) -> GracefulShutdown {
         let (phase_sender, phase) = watch::channel(ShutdownPhase::Serving);
         let connections = Rc::new(Connections::default());
-        let active_ids = handler.context.active_ids.clone();
+        let request_ids = handler.context.request_ids.clone();
         let max_connections = sockets.clients - RESERVED_CONNECTIONS;
         let listener = Listener {
             handler,
@@ -214,6 +214,6 @@
             counters: self.counters.clone(),
         };
         let accept_task = spawn_local(listener.accept(socket));
-        GracefulShutdown { is_stopping, phase_sender, accept_task, connections, active_ids }
+        GracefulShutdown { is_stopping, phase_sender, accept_task, connections, request_ids }
     }
 }
--- a/src/process/shutdown.rs
+++ b/src/process/shutdown.rs
@@ -1,6 +1,6 @@
 //! Graceful shutdown: every received request gets its final response, and every held KV cache is released.
 
-use crate::frontend::context::ActiveRequestIds;
+use crate::frontend::request_ids::RequestIds;
 use crate::net::server::connections::Connections;
 use crate::net::server::shutdown_phase::ShutdownPhase;
 use std::cell::Cell;
@@ -25,7 +25,7 @@
     pub accept_task: JoinHandle<()>,
     pub connections: Rc<Connections>,
     /// The ids of the requests in flight.
-    pub active_ids: Rc<ActiveRequestIds>,
+    pub request_ids: Rc<RequestIds>,
 }
 
 impl GracefulShutdown {
@@ -48,7 +48,7 @@
         );
         // A request id is active while an attempt or a cache release of the request is in flight, so this
         // also waits for the release of held KV caches.
-        while self.connections.count() > 0 || !self.active_ids.is_empty() {
+        while self.connections.count() > 0 || self.request_ids.has_active() {
             tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
         }
     }
--- a/src/runtime/active_request.rs
+++ b/src/runtime/active_request.rs
@@ -24,6 +24,7 @@
     responder: Option<Responder>,
     attempts: Vec<AttemptRecord>,
     held_cache: HeldCache,
+    client_disconnected: bool,
     /// A cache release that the next attempt has to wait for.
     pending_release: Option<Rc<ReleaseProgress>>,
 }
@@ -58,6 +59,15 @@
             Some(outcome) => self.stage == Stage::Decode && !outcome.had_no_effect(),
         }
     }
+
+    /// Whether the worker may have received the request, and not rejected it.
+    fn may_have_been_accepted(&self) -> bool {
+        let was_not_accepted = |outcome| {
+            use Outcome::{CacheMissing, ConnectFailed, NotSent, Rejected};
+            matches!(outcome, CacheMissing | ConnectFailed | NotSent | Rejected)
+        };
+        self.write_started.get() && !self.outcome.is_some_and(was_not_accepted)
+    }
 }
 
 /// The policy's specification of an attempt.
@@ -99,6 +109,7 @@
             responder: Some(responder),
             attempts: Vec::new(),
             held_cache: HeldCache::default(),
+            client_disconnected: false,
             pending_release: None,
         }
     }
@@ -262,6 +273,17 @@
         }
     }
 
+    /// Records that the client has disconnected, and cancels the attempts that are streaming.
+    pub fn record_disconnect(&mut self) {
+        self.client_disconnected = true;
+        self.cancel_streams();
+    }
+
+    /// Whether the client has left the request at a worker.
+    pub fn is_abandoned(&self) -> bool {
+        self.client_disconnected && self.attempts.iter().any(AttemptRecord::may_have_been_accepted)
+    }
+
     /// Cancels the attempts that are streaming. The client sees a stream without its last chunk, and requests
     /// the rest.
     pub fn cancel_streams(&mut self) {
--- a/src/runtime/driver/inputs.rs
+++ b/src/runtime/driver/inputs.rs
@@ -97,7 +97,7 @@
     fn client_disconnected(&mut self, request: RequestId) {
         let Some(active) = self.requests.get_mut(request) else { return };
         self.counters.client_disconnects.increment();
-        active.cancel_streams();
+        active.record_disconnect();
         self.end_request(request, DriverEndReason::ClientDisconnected);
     }
 
--- a/src/runtime/driver/mod.rs
+++ b/src/runtime/driver/mod.rs
@@ -171,6 +171,9 @@
     /// that is still held for it is released.
     fn remove_if_finished(&mut self, request: RequestId) {
         let Some(finished) = self.requests.remove_if_finished(request) else { return };
+        if finished.is_abandoned() {
+            finished.forwarded().abandonment.record();
+        }
         if finished.holds_cache() {
             let detail = "a KV cache is still held after the end of the request";
             self.counters.violations.record(Invariant::CacheReleased, finished.id(), detail);
--- a/src/runtime/exchange/mod.rs
+++ b/src/runtime/exchange/mod.rs
@@ -8,7 +8,7 @@
 mod segmented_bytes;
 mod stream;
 
-pub use request::{ClientConnection, ForwardedRequest, RequestState};
+pub use request::{Abandonment, ClientConnection, ForwardedRequest, RequestState};
 pub use segmented_bytes::SegmentedBytes;
 pub use stream::{Frame, Reply, ResponseStream, ResponseStreamSender, response_stream};
 
--- a/src/runtime/exchange/request.rs
+++ b/src/runtime/exchange/request.rs
@@ -22,6 +22,8 @@
     pub max_output_tokens: Option<u64>,
     /// Tells whether the client that sent the request has disconnected.
     pub client: ClientConnection,
+    /// Records whether the request was abandoned.
+    pub abandonment: Abandonment,
     /// Resources that the request occupies, such as its id and its share of memory. They are freed with the
     /// last reference, which may be after the final response: at the end of the request's last attempt or
     /// cache release.
@@ -50,6 +52,23 @@
     }
 }
 
+/// Whether a request was abandoned: its client disconnected before the end of the response, and a worker may have
+/// received the request.
+#[derive(Clone, Debug, Default)]
+pub struct Abandonment(Rc<Cell<bool>>);
+
+impl Abandonment {
+    /// Records that the request was abandoned.
+    pub fn record(&self) {
+        self.0.set(true);
+    }
+
+    /// Whether the request was abandoned.
+    pub fn is_recorded(&self) -> bool {
+        self.0.get()
+    }
+}
+
 /// Whether a request still awaits its final response; shared by all tasks that work on the request. It is
 /// closed when a final response is sent or when the client is known to have disconnected.
 #[derive(Clone, Debug)]
--- a/src/runtime/fixtures.rs
+++ b/src/runtime/fixtures.rs
@@ -28,6 +28,7 @@
         body: Default::default(),
         max_output_tokens: None,
         client: Default::default(),
+        abandonment: Default::default(),
         resources: None,
     }
 }
--- a/tests/attempts/harness.rs
+++ b/tests/attempts/harness.rs
@@ -133,6 +133,7 @@
         body: Bytes::from("hello").into(),
         max_output_tokens: None,
         client: ClientConnection::default(),
+        abandonment: Default::default(),
         resources: None,
     }
 }
--- a/tests/router.rs
+++ b/tests/router.rs
@@ -9,6 +9,7 @@
 use std::process::Command;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
 use support::*;
 
 /// Starts a router with one prefill and one decode worker.
@@ -162,6 +163,39 @@
     assert_eq!(router.stop().get("requests_received"), 2);
 }
 
+/// Guards against a request that runs twice because its id comes again after its client has left.
+#[rstest]
+fn an_id_that_its_client_left_at_a_worker_is_not_run_again(
+    #[values("send", "explain")] class: &str,
+    #[values(HangingWorker::start(), HangingWorker::start_streaming())] decode: HangingWorker,
+) {
+    let prefill = Peer::prefill_worker();
+    let router = start_router(&prefill, &decode.peer);
+    let mut client = router.connect();
+    client.write_all(request("id-1", class, "hello").as_bytes()).unwrap();
+    decode.wait_for_request();
+    drop(client);
+    assert!(decode.router_closed_connection());
+    assert_eq!(router.request("id-1", class).status(), 409);
+    assert_eq!(decode.requests_received(), 1);
+}
+
+/// Guards against an id that is refused although no worker has received it.
+#[test]
+fn an_id_that_reached_no_worker_may_be_used_again() {
+    let router =
+        RouterProcess::start(&operator_file(&[Peer::refusing_address()], &[Peer::refusing_address()], ""));
+    let mut client = router.connect();
+    client.write_all(request("id-1", "send", "hello").as_bytes()).unwrap();
+    drop(client);
+    // The first request is active until its attempts have failed.
+    let mut statuses = (0..100).map(|_| {
+        std::thread::sleep(Duration::from_millis(20));
+        router.request("id-1", "send").status()
+    });
+    assert_eq!(statuses.find(|status| *status != 409), Some(503));
+}
+
 #[test]
 fn the_attempt_of_a_disconnected_client_is_cancelled_and_its_cache_released() {
     // A release may go to either worker of a request, so one worker has both roles here.
--- a/tests/support/driver.rs
+++ b/tests/support/driver.rs
@@ -105,6 +105,7 @@
         body: Default::default(),
         max_output_tokens: None,
         client: Default::default(),
+        abandonment: Default::default(),
         resources: None,
     }
 }
--- a/tests/support/server.rs
+++ b/tests/support/server.rs
@@ -65,7 +65,7 @@
             is_ready: Box::new(|| true),
             counters: counters.clone(),
             request_memory: MemoryBudget::new(options.request_memory),
-            active_ids: Rc::default(),
+            request_ids: Rc::default(),
         };
         let (shutdown, phases) = watch::channel(ShutdownPhase::Serving);
         let connections = Rc::new(Connections::default());
