--- a/src/frontend/context.rs
+++ b/src/frontend/context.rs
@@ -1,7 +1,7 @@
 //! State shared by the client protocols.
 
 use crate::frontend::request_ids::RequestIds;
-use crate::net::server::memory_budget::MemoryBudget;
+use crate::net::memory_budget::MemoryBudget;
 use crate::runtime::DriverHandle;
 use crate::runtime::counters::Counters;
 use std::rc::Rc;
--- a/src/frontend/error.rs
+++ b/src/frontend/error.rs
@@ -4,7 +4,7 @@
 use crate::frontend::request_ids::IdConflict;
 use crate::frontend::response_body::{ResponseBody, plain_text};
 use crate::interface::Micros;
-use crate::net::server::memory_budget::BudgetExhausted;
+use crate::net::memory_budget::BudgetExhausted;
 use crate::runtime::counters::Counters;
 use bytes::Bytes;
 use hyper::{Response, StatusCode};
--- a/src/frontend/request_body.rs
+++ b/src/frontend/request_body.rs
@@ -1,8 +1,8 @@
 //! Reads request bodies within the size limit of each and the memory budget of all.
 
 use crate::frontend::error::RequestError;
+use crate::net::memory_budget::{BudgetExhausted, MemoryReservation};
 use crate::net::server::client_socket::ClientSocket;
-use crate::net::server::memory_budget::{BudgetExhausted, MemoryReservation};
 use crate::net::server::received_request::MAX_BODY_BYTES;
 use crate::runtime::exchange::SegmentedBytes;
 use bytes::Bytes;
--- a/src/net/server/memory_budget.rs
+++ b/src/net/memory_budget.rs
@@ -1,4 +1,4 @@
-//! A limit on the memory that the heads and bodies of all requests occupy together.
+//! A limit on the memory that many holders occupy together.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -10,7 +10,7 @@
 
 /// The budget has fewer bytes left than requested.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("the memory budget of requests is exhausted")]
+#[error("the memory budget is exhausted")]
 pub struct BudgetExhausted;
 
 impl MemoryBudget {
@@ -66,7 +66,7 @@
 
 impl Drop for MemoryReservation {
     fn drop(&mut self) {
-        self.budget.available.set(self.budget.available.get() + self.bytes);
+        self.shrink(self.bytes);
     }
 }
 
--- a/src/net/server/mod.rs
+++ b/src/net/server/mod.rs
@@ -13,7 +13,6 @@
 pub mod gated_socket;
 pub mod handler;
 mod lingering_close;
-pub mod memory_budget;
 mod pipeline_wait;
 mod read_ahead;
 mod read_gate;
--- a/src/net/server/read_ahead.rs
+++ b/src/net/server/read_ahead.rs
@@ -9,7 +9,7 @@
 //! whole segment fits the buffer, which on some links is as large as the buffer. So bytes are counted from when
 //! the socket was last empty, and all are read ahead if any are.
 
-use crate::net::server::memory_budget::{MemoryBudget, MemoryReservation};
+use crate::net::memory_budget::{MemoryBudget, MemoryReservation};
 use crate::net::server::socket_probe;
 use std::collections::VecDeque;
 use std::rc::Rc;
--- a/src/net/server/read_limits.rs
+++ b/src/net/server/read_limits.rs
@@ -1,6 +1,6 @@
 //! What all client connections share of the limits on reading.
 
-use crate::net::server::memory_budget::MemoryBudget;
+use crate::net::memory_budget::MemoryBudget;
 use crate::net::server::read_scheduler::ReadScheduler;
 use std::rc::Rc;
 
