Let the soak's workers spoil streams after their first event, and its clients wait for output

Cause: the soak could not have found the endless streams: its workers spoiled responses only before the first event, and its clients took any chunk for progress of a stream and waited for 7 s.

Change: a malformed response may now follow any number of events: silence, unreadable and endless chunks, blank lines, comments, events without data or output, trailers and end markers, slow or at full speed. Clients wait for 5 s (and 0.5 s for the machine) after a part of the answer, and take an event behind the end marker for a violation.

--- a/crates/fleet-emulator/src/client/events.rs
+++ b/crates/fleet-emulator/src/client/events.rs
@@ -5,6 +5,9 @@
 use std::collections::HashSet;
 use std::time::Duration;
 
+/// What a worker may send beside its answer, without white space at the ends. Routers forward it unchanged.
+const EVENTS_WITHOUT_OUTPUT: [&str; 4] = ["", ": ping", "data:", "data: {\"choices\":[]}"];
+
 /// The events received so far, and the check that they are the unaltered stream of one worker for the
 /// request.
 pub(super) struct EventStream {
@@ -38,6 +41,11 @@
         self.content_events > 0
     }
 
+    /// The number of content events received.
+    pub(super) fn content_events(&self) -> u64 {
+        self.content_events
+    }
+
     /// Whether the event that ends the stream has been received.
     pub(super) fn is_done(&self) -> bool {
         self.is_done
@@ -63,7 +71,11 @@
     }
 
     fn receive_event(&mut self, event: &str) {
+        if EVENTS_WITHOUT_OUTPUT.contains(&event) {
+            return;
+        }
         if event == "data: [DONE]" {
+            self.is_intact &= !self.is_done;
             self.is_done = true;
             return;
         }
--- a/crates/fleet-emulator/src/client/mod.rs
+++ b/crates/fleet-emulator/src/client/mod.rs
@@ -18,13 +18,15 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::time::Instant;
 
 /// The timeout for establishing a connection to a router.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// The time after the deadline of a request at which its client stops waiting for the start of the response.
 const RESPONSE_GRACE: Duration = Duration::from_secs(3);
-/// The time without data after which a client stops waiting for the rest of a stream.
-const STREAM_IDLE_TIMEOUT: Duration = Duration::from_secs(7);
+/// The time after a part of the answer at which a client stops waiting for the rest of a stream: the limit of 5 s
+/// and some slack for the machine.
+const STREAM_IDLE_TIMEOUT: Duration = Duration::from_millis(5_500);
 
 /// The behaviour of a client during one request.
 #[derive(Clone, Copy, Debug, Default)]
@@ -227,8 +229,10 @@
         if !head.is_chunked() {
             return Err(ExchangeError::Truncated);
         }
+        let mut last_content_at = Instant::now();
         loop {
-            let chunk = tokio::time::timeout(STREAM_IDLE_TIMEOUT, reader.read_chunk())
+            let content_events = events.content_events();
+            let chunk = tokio::time::timeout_at(last_content_at + STREAM_IDLE_TIMEOUT, reader.read_chunk())
                 .await
                 .map_err(|_| ExchangeError::TimedOut)?
                 .map_err(|_| ExchangeError::Truncated)?;
@@ -237,6 +241,9 @@
             }
             let had_content = events.has_content();
             events.receive(&chunk);
+            if events.content_events() > content_events {
+                last_content_at = Instant::now();
+            }
             if !had_content && events.has_content() {
                 self.history.add(Record::FirstEventReceived { request: request.id.clone() });
             }
--- a/crates/fleet-emulator/src/worker/exchange.rs
+++ b/crates/fleet-emulator/src/worker/exchange.rs
@@ -9,6 +9,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::io::{AsyncWrite, AsyncWriteExt};
+use tokio::time::Instant;
 
 /// The head of a streamed response.
 const STREAM_HEAD: &str =
@@ -28,6 +29,48 @@
 /// before they send another request.
 const MAX_UNSOLICITED_RESPONSE_DELAY: Duration = Duration::from_millis(15);
 
+/// How often a worker repeats a part of an endless tail in one write at full speed, and the time between two
+/// parts of a slow one.
+const TAIL_REPETITIONS: usize = 1024;
+const TAIL_INTERVAL: Duration = Duration::from_millis(50);
+/// What an endless tail begins with, and what it repeats: chunks that can't be read, and chunks without output.
+const ENDLESS_TAILS: [(&str, &str); 12] = [
+    ("", ""),
+    ("zz\r\n", ""),
+    ("c0000000\r\n", "x"),
+    ("c0000000\r\n", "\n"),
+    ("c0000000\r\n", ": ping\n\n"),
+    ("c0000000\r\n", "data: {\"choices\":[]}\n\n"),
+    ("", "1\r\n\n\r\n"),
+    ("", "8\r\n: ping\n\n\r\n"),
+    ("", "7\r\ndata:\n\n\r\n"),
+    ("", "16\r\ndata: {\"choices\":[]}\n\n\r\n"),
+    ("0\r\n", "data: x\r\n"),
+    ("", "e\r\ndata: [DONE]\n\n\r\n"),
+];
+
+/// How fast a worker sends an endless tail.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum TailSpeed {
+    Full,
+    Slow,
+}
+
+/// What a worker sends in place of the rest of an answer.
+struct EndlessTail {
+    prefix: &'static str,
+    repeated: &'static str,
+    speed: TailSpeed,
+}
+
+impl EndlessTail {
+    fn draw() -> EndlessTail {
+        let (prefix, repeated) = ENDLESS_TAILS[rand::rng().random_range(0..ENDLESS_TAILS.len())];
+        let speed = if happens(0.5) { TailSpeed::Full } else { TailSpeed::Slow };
+        EndlessTail { prefix, repeated, speed }
+    }
+}
+
 /// The size of a request in tokens.
 #[derive(Clone, Copy)]
 pub(super) struct RequestSize {
@@ -126,10 +169,12 @@
         }
         self.record(Record::CacheReservationEnded { request: self.request.clone() });
         tokio::time::sleep(worker.slowed(worker.settings.base_latency, &self.misbehaviour)).await;
-        if happens(self.misbehaviour.malformed_response) {
+        let event_count = (max_output_tokens / TOKENS_PER_EVENT).clamp(1, MAX_EVENTS);
+        let malformed_after =
+            happens(self.misbehaviour.malformed_response).then(|| rand::rng().random_range(0..=event_count));
+        if malformed_after == Some(0) {
             return self.respond_malformed().await;
         }
-        let event_count = (max_output_tokens / TOKENS_PER_EVENT).clamp(1, MAX_EVENTS);
         let close_before = happens(self.misbehaviour.close_during_response)
             .then(|| rand::rng().random_range(0..event_count));
         for event in 0..event_count {
@@ -137,6 +182,9 @@
                 return Ok(self.close());
             }
             self.stream_event(event).await?;
+            if malformed_after == Some(event + 1) {
+                return self.stream_endless_tail().await;
+            }
         }
         self.end_stream(event_count).await
     }
@@ -247,6 +295,26 @@
         Ok(ConnectionUse::Close)
     }
 
+    /// Sends something after an event that neither continues nor ends the answer, until the router closes the
+    /// connection, for [`HANG_DURATION`] at most.
+    async fn stream_endless_tail(&mut self) -> io::Result<ConnectionUse> {
+        self.record_completion(0, false, false);
+        let tail = EndlessTail::draw();
+        self.write(tail.prefix.as_bytes()).await?;
+        let repeated = match tail.speed {
+            TailSpeed::Full => tail.repeated.repeat(TAIL_REPETITIONS),
+            TailSpeed::Slow => tail.repeated.to_owned(),
+        };
+        let end = Instant::now() + HANG_DURATION;
+        while Instant::now() < end {
+            self.write(repeated.as_bytes()).await?;
+            if tail.speed == TailSpeed::Slow || repeated.is_empty() {
+                tokio::time::sleep(TAIL_INTERVAL).await;
+            }
+        }
+        Ok(ConnectionUse::Close)
+    }
+
     async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
         self.worker.wait_until_resumed().await;
         self.output.write_all(bytes).await?;
