Fail a connection to a worker whose chunk is longer than a body may be

What callers saw: a client was left on a stream that could not be complete any more, for as long as its worker went on, and 4.5 s longer.

Cause: a chunk said to hold 3 GB never ends. hyper passes on what comes in it, and the lines of an answer are as valid there as in chunks of their own, so nothing was found wrong before the worker fell silent.

Change: the framing of responses is parsed at the socket as well, by the parser that finds the ends of requests. A connection fails once a chunk is declared longer than 256 KiB, the most that a body may have; so does one without a response head in 256 KiB, as before.

--- a/src/net/server/framing.rs
+++ b/src/net/framing.rs
@@ -1,4 +1,4 @@
-//! HTTP/1.1 request framing: finds the end of each request and detects ambiguous framing.
+//! HTTP/1.1 framing: finds the end of each message, detects ambiguous framing, and tells how long a chunk is.
 //!
 //! hyper accepts a head with both `Content-Length` and `Transfer-Encoding` and drops one of them before the
 //! service sees the head. Such a head may hide a second request in its body (request smuggling), so this
@@ -88,6 +88,8 @@
     /// The received part of the current line, up to [`MAX_INSPECTED_LINE_BYTES`].
     line: Vec<u8>,
     head: FramingFields,
+    /// The declared length of the last chunk.
+    chunk_length: u64,
     is_at_request_end: bool,
     /// The framing of each complete head that has not yet been taken by [`FramingParser::next_head`].
     heads: VecDeque<HeadFraming>,
@@ -109,6 +111,11 @@
         self.heads.pop_front().unwrap_or(HeadFraming::Ambiguous)
     }
 
+    /// Forgets the heads that have not been taken by [`next_head`](Self::next_head).
+    pub fn discard_heads(&mut self) {
+        self.heads.clear();
+    }
+
     /// The number of further bytes that belong to the request being received, whatever their content.
     pub fn bytes_within_request(&self) -> u64 {
         match self.state {
@@ -118,6 +125,11 @@
         }
     }
 
+    /// The length that was declared for the last chunk, without its line end; 0 if there was none.
+    pub fn chunk_length(&self) -> u64 {
+        self.chunk_length
+    }
+
     /// Parses bytes up to the end of the request that they belong to. Returns the number of bytes parsed.
     pub fn advance(&mut self, bytes: &[u8]) -> usize {
         let mut rest = bytes;
@@ -197,7 +209,9 @@
         let digits = line.split(|b| *b == b';').next().unwrap_or_default().trim_ascii();
         let is_number = !digits.is_empty() && digits.iter().all(u8::is_ascii_hexdigit);
         let size = std::str::from_utf8(digits).ok().filter(|_| is_number);
-        self.state = match size.and_then(|digits| u64::from_str_radix(digits, 16).ok()) {
+        let size = size.and_then(|digits| u64::from_str_radix(digits, 16).ok());
+        self.chunk_length = size.unwrap_or_default();
+        self.state = match size {
             Some(0) => ParserState::Trailers,
             // The two bytes are the line end of the chunk.
             Some(size) => size.checked_add(2).map_or(ParserState::Unparsable, ParserState::Chunk),
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,11 +2,13 @@
 //!
 //! [`server`] serves clients, [`upstream`] connects to workers, and [`discovery`] to the discovery agent. A
 //! request passes from [`server`] to [`upstream`] only through an [`exchange`](crate::runtime::exchange).
-//! [`socket`], [`failure`], [`buffer_limit`], [`memory`] and [`memory_budget`] are shared by several of them.
+//! [`socket`], [`failure`], [`framing`], [`buffer_limit`], [`memory`] and [`memory_budget`] are shared by several of
+//! them.
 
 pub mod buffer_limit;
 pub mod discovery;
 pub mod failure;
+pub mod framing;
 pub mod memory;
 pub mod memory_budget;
 pub mod server;
--- a/src/net/server/client_socket.rs
+++ b/src/net/server/client_socket.rs
@@ -4,7 +4,7 @@
 //! which decides when the connection closes, the registry of connections and the request handler. All of them
 //! run on one thread.
 
-use crate::net::server::framing::{FramingParser, HeadFraming};
+use crate::net::framing::{FramingParser, HeadFraming};
 use crate::net::server::pipeline_wait::PipelineWait;
 use crate::net::server::read_ahead::{CloseVisibility, ReadAhead};
 use crate::net::server::read_gate::ReadGate;
--- a/src/net/server/mod.rs
+++ b/src/net/server/mod.rs
@@ -1,5 +1,4 @@
-//! The server side: accepting client connections, limits and eviction, the life cycle of a connection and
-//! request framing.
+//! The server side: accepting client connections, limits and eviction, and the life cycle of a connection.
 //!
 //! Requests are not interpreted here: the listener passes each one to its
 //! [`RequestHandler`](handler::RequestHandler).
@@ -9,7 +8,6 @@
 mod connection;
 mod connection_handler;
 pub mod connections;
-pub mod framing;
 pub mod gated_socket;
 pub mod handler;
 mod lingering_close;
--- a/src/net/socket.rs
+++ b/src/net/socket.rs
@@ -105,11 +105,14 @@
     /// Called after a write; the kernel has accepted the first `written` bytes of `buffers`.
     fn after_write(&self, buffers: &[IoSlice<'_>], written: usize);
 
-    /// Called after a read of `length` bytes.
+    /// Called before each read.
     ///
     /// # Errors
-    /// The peer sends more than it may. The read fails with this error.
-    fn after_read(&self, length: usize) -> io::Result<()>;
+    /// The peer has sent what it may not. The read fails with this error.
+    fn before_read(&self) -> io::Result<()>;
+
+    /// Called after a read, with the bytes that were read.
+    fn after_read(&self, bytes: &[u8]);
 }
 
 /// A monitor that does nothing.
@@ -122,9 +125,11 @@
 
     fn after_write(&self, _: &[IoSlice<'_>], _: usize) {}
 
-    fn after_read(&self, _: usize) -> io::Result<()> {
+    fn before_read(&self) -> io::Result<()> {
         Ok(())
     }
+
+    fn after_read(&self, _: &[u8]) {}
 }
 
 /// One of the owners of a shared TCP stream, which closes when its last owner is dropped.
@@ -234,10 +239,12 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        self.monitor.before_read()?;
         let limit = buf.remaining();
         let filled = buf.filled().len();
         ready!(self.poll_read_up_to(cx, buf, limit))?;
-        Poll::Ready(self.monitor.after_read(buf.filled().len() - filled))
+        self.monitor.after_read(&buf.filled()[filled..]);
+        Poll::Ready(Ok(()))
     }
 }
 
--- a/src/net/upstream/mod.rs
+++ b/src/net/upstream/mod.rs
@@ -16,7 +16,8 @@
 //! | `call` | unary calls outside of attempts, used by `release`, `slot`, `health` and `stream` |
 //! | `release`, `slot`, `health` | cache releases, slot reservations and health checks |
 //! | `load_report` | the workers' load reports |
-//! | `pool`, `connection`, `write_progress` | connections, their reuse, and the progress of writes |
+//! | `pool`, `connection` | connections and their reuse |
+//! | `write_progress`, `response_limits` | the progress of a request and the limits of its response, at the socket |
 
 mod attempt;
 mod call;
@@ -33,6 +34,7 @@
 pub mod pool;
 mod release;
 mod response;
+mod response_limits;
 mod slot;
 mod stream;
 mod stream_progress;
--- a/src/net/upstream/write_progress.rs
+++ b/src/net/upstream/write_progress.rs
@@ -1,11 +1,10 @@
-//! Tracks at the socket how much of a request has been written to a connection, and how much was read before
-//! its response began.
+//! Tracks at the socket how much of a request has been written to a connection, and limits its response.
 //!
-//! An attempt may have run only if the last byte of its request was written, which hyper does not report. Nor
-//! does hyper limit the number of informational responses.
+//! An attempt may have run only if the last byte of its request was written, which hyper does not report.
 
 use crate::interface::Outcome;
 use crate::net::socket::{Socket, TransferMonitor, retry_on_interrupt};
+use crate::net::upstream::response_limits::ResponseLimits;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::io::{self, IoSlice};
@@ -16,10 +15,6 @@
 /// The length of the terminator of a request head, CR LF CR LF.
 const HEAD_TERMINATOR_LENGTH: u8 = 4;
 
-/// The maximum number of bytes that are read before a response begins: its head, informational responses in
-/// front of it, and what was read together with the head.
-const MAX_HEAD_BYTES: usize = 256 * 1024;
-
 /// A check that is called before bytes of a request are written. It fails with the outcome of the attempt if
 /// they must not be written.
 pub type WriteGuard = Box<dyn Fn() -> Result<(), Outcome>>;
@@ -37,8 +32,7 @@
     body_remaining: Cell<usize>,
     /// Whether any byte of the request was written.
     has_started: Cell<bool>,
-    /// The number of further bytes that may be read before the response begins; `None` once it has begun.
-    head_bytes_left: Cell<Option<usize>>,
+    response: RefCell<ResponseLimits>,
     guard: RefCell<Option<WriteGuard>>,
     withheld_outcome: Cell<Option<Outcome>>,
 }
@@ -49,13 +43,13 @@
         self.terminator_matched.set(0);
         self.body_remaining.set(body_length);
         self.has_started.set(false);
-        self.head_bytes_left.set(Some(MAX_HEAD_BYTES));
+        self.response.take();
         self.guard.replace(Some(guard));
     }
 
     /// Records that the head of the response has arrived.
     pub(super) fn begin_response(&self) {
-        self.head_bytes_left.set(None);
+        self.response.borrow_mut().begin_response();
     }
 
     /// The outcome of the attempt if one of its writes was withheld.
@@ -114,11 +108,12 @@
         }
     }
 
-    fn after_read(&self, length: usize) -> io::Result<()> {
-        let Some(left) = self.head_bytes_left.get() else { return Ok(()) };
-        let left = left.checked_sub(length).ok_or_else(|| io::Error::other("response head too long"))?;
-        self.head_bytes_left.set(Some(left));
-        Ok(())
+    fn before_read(&self) -> io::Result<()> {
+        self.response.borrow().check().map_err(io::Error::other)
+    }
+
+    fn after_read(&self, bytes: &[u8]) {
+        self.response.borrow_mut().record(bytes);
     }
 }
 
--- a/tests/endless_streams.rs
+++ b/tests/endless_streams.rs
@@ -182,6 +182,19 @@
     assert!(worker_wait <= WAIT_LIMIT, "the worker's connection stayed open for {worker_wait:?}");
 }
 
+/// Guards against a client that is left on a stream that can't be complete any more: its answer goes on in a chunk
+/// that is too long to ever end.
+#[rstest]
+#[case::three_gigabytes("b2d05e00\r\n")]
+#[case::three_gigabytes_with_an_extension("00b2d05e00 ; a=b\r\n")]
+#[case::more_than_a_body_may_have("40001\r\n")]
+fn an_answer_that_goes_on_in_an_endless_chunk_ends_in_time(#[case] prefix: &'static str) {
+    let repeated = "data: {\"choices\":[{\"delta\":{\"content\":\"word \"}}]}\n\n".to_owned();
+    let (client_wait, worker_wait) = play(EndlessTail { prefix, repeated, speed: Speed::Slow }, Speed::Full);
+    assert!(client_wait <= WAIT_LIMIT, "the client waited for {client_wait:?}");
+    assert!(worker_wait <= WAIT_LIMIT, "the worker's connection stayed open for {worker_wait:?}");
+}
+
 /// Guards against a worker that repeats itself without end: no answer has more events than tokens were asked
 /// for.
 #[rstest]
