--- a/src/frontend/request_body.rs
+++ b/src/frontend/request_body.rs
@@ -1,6 +1,7 @@
 //! Reads request bodies within the size limit of each and the memory budget of all.
 
 use crate::frontend::error::RequestError;
+use crate::net::memory::BLOCK_BYTES;
 use crate::net::memory_budget::{BudgetExhausted, MemoryReservation};
 use crate::net::server::client_socket::ClientSocket;
 use crate::net::server::received_request::MAX_BODY_BYTES;
@@ -9,10 +10,9 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 
-/// The sizes of the segments of a body are the powers of two between these. The last segment of a body is the
-/// smallest one that holds the rest.
+/// The smallest segment of a body. The sizes of segments are the powers of two up to [`BLOCK_BYTES`], and the last
+/// segment of a body is the smallest one that holds the rest.
 const MIN_SEGMENT_BYTES: usize = 1024;
-const MAX_SEGMENT_BYTES: usize = 16 * 1024;
 
 /// A body that has been received in full.
 pub struct RequestBody {
@@ -89,7 +89,7 @@
 
     fn begin_segment(&mut self) -> Result<(), BudgetExhausted> {
         let rest = self.expected_length.saturating_sub(self.length);
-        let size = rest.clamp(MIN_SEGMENT_BYTES, MAX_SEGMENT_BYTES).next_power_of_two();
+        let size = rest.clamp(MIN_SEGMENT_BYTES, BLOCK_BYTES).next_power_of_two();
         self.reservation.grow(size)?;
         let full_segment = std::mem::replace(&mut self.last_segment, Vec::with_capacity(size));
         self.full_segments.push(full_segment.into());
--- a/src/frontend/service.rs
+++ b/src/frontend/service.rs
@@ -145,11 +145,12 @@
     client: &ClientSocket,
     shutdown: &watch::Receiver<ShutdownPhase>,
 ) -> Result<(), RequestError> {
-    if client.has_disconnected() {
-        return Err(match client.is_close_hidden() {
-            true => RequestError::TooManyPipelinedBytes,
-            false => RequestError::ClientDisconnected,
-        });
+    let has_disconnected = client.has_disconnected();
+    if client.is_close_hidden() {
+        return Err(RequestError::TooManyPipelinedBytes);
+    }
+    if has_disconnected {
+        return Err(RequestError::ClientDisconnected);
     }
     // The process may exit before the deadline of a request that arrives this late; another router can still
     // serve it.
--- a/src/net/memory.rs
+++ b/src/net/memory.rs
@@ -3,6 +3,9 @@
 use crate::net::buffer_limit::BufferLimit;
 
 const BYTES_PER_MEGABYTE: usize = 1024 * 1024;
+/// The size of the blocks in which received bytes are kept. Equal blocks leave no holes in the heap that fit no other
+/// buffer.
+pub const BLOCK_BYTES: usize = 16 * 1024;
 /// The size of all buffers of a connection if each is as small as possible.
 const MIN_CONNECTION_BYTES: usize = BufferLimit::BUFFERS_PER_CONNECTION * BufferLimit::MIN.bytes();
 /// The share of the memory limit for the buffers of all connections: one half.
--- a/src/net/server/client_socket.rs
+++ b/src/net/server/client_socket.rs
@@ -15,6 +15,7 @@
 use crate::runtime::exchange::ClientConnection;
 use std::cell::{Cell, RefCell};
 use std::io::ErrorKind;
+use std::ops::ControlFlow;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{Interest, ReadBuf};
@@ -144,8 +145,16 @@
     /// Whether the client has closed the connection, or may have done so unseen: it has sent more behind the
     /// active request than may be read ahead. No attempt may be made for such a request.
     pub fn has_disconnected(&self) -> bool {
-        self.read_ahead();
-        self.is_close_hidden.get() || self.has_closed()
+        self.check_disconnect().is_break()
+    }
+
+    /// Reads ahead, and checks whether the client has disconnected. If not, returns whether a close would be seen.
+    fn check_disconnect(&self) -> ControlFlow<(), CloseVisibility> {
+        let visibility = self.read_ahead();
+        if self.is_close_hidden.get() || self.has_closed() {
+            return ControlFlow::Break(());
+        }
+        ControlFlow::Continue(visibility)
     }
 
     /// Whether a close would not be seen, because the client has sent too much behind the active request.
@@ -156,10 +165,7 @@
     /// Resolves when [`has_disconnected`](Self::has_disconnected) returns true. Cancel safe.
     pub async fn disconnected(&self) {
         loop {
-            let visibility = self.read_ahead();
-            if self.is_close_hidden.get() || self.has_closed() {
-                return;
-            }
+            let ControlFlow::Continue(visibility) = self.check_disconnect() else { return };
             if self.has_read_ahead() {
                 self.pipelining.record_next_request();
             }
--- a/src/net/server/read_ahead.rs
+++ b/src/net/server/read_ahead.rs
@@ -9,14 +9,13 @@
 //! whole segment fits the buffer, which on some links is as large as the buffer. So bytes are counted from when
 //! the socket was last empty, and all are read ahead if any are.
 
+use crate::net::memory::BLOCK_BYTES;
 use crate::net::memory_budget::{MemoryBudget, MemoryReservation};
 use crate::net::server::socket_probe;
 use std::collections::VecDeque;
 use std::rc::Rc;
 use tokio::net::TcpStream;
 
-/// The size of a block of memory.
-const BLOCK_BYTES: usize = 16 * 1024;
 /// The number of bytes that an empty socket receives whose receive window stays open: half of the window with
 /// which Linux begins.
 const OPEN_WINDOW_BYTES: usize = 32 * 1024;
