--- a/src/net/upstream/stream_progress.rs
+++ b/src/net/upstream/stream_progress.rs
@@ -17,7 +17,6 @@
 const RESUME_GRACE: Duration = Duration::from_millis(500);
 /// The maximum number of bytes between two events with output: as many as an event may have.
 const MAX_BYTES_WITHOUT_OUTPUT: usize = MAX_EVENT_BYTES;
-
 /// The number of events with output that an answer may have for each of the tokens that were asked for.
 const EVENTS_PER_TOKEN: u64 = 2;
 /// The number of further events, such as those that begin and finish an answer.
