--- a/crates/fleet-emulator/src/worker/exchange.rs
+++ b/crates/fleet-emulator/src/worker/exchange.rs
@@ -9,68 +9,23 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::io::{AsyncWrite, AsyncWriteExt};
-use tokio::time::Instant;
 
 /// The head of a streamed response.
-const STREAM_HEAD: &str =
+pub(super) const STREAM_HEAD: &str =
     "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
 /// The header of a response to a request that was not executed and may therefore be retried.
 const NOT_EXECUTED_HEADER: &str = "x-not-run: 1\r\n";
 /// The time for which a call that hangs occupies its slot, and a malformed response its connection.
-const HANG_DURATION: Duration = Duration::from_secs(20);
+pub(super) const HANG_DURATION: Duration = Duration::from_secs(20);
 /// The largest number of content events in a stream.
 const MAX_EVENTS: u64 = 24;
 /// The number of output tokens that one event stands for.
 const TOKENS_PER_EVENT: u64 = 4;
-/// The size of the head or chunk that a malformed response starts but does not end.
-const UNTERMINATED_RESPONSE_BYTES: usize = 256 * 1024;
 /// The longest delay between a response and the unsolicited response after it. It is shorter than the time
 /// for which routers leave a connection unused after a response, so that they receive the unsolicited one
 /// before they send another request.
 const MAX_UNSOLICITED_RESPONSE_DELAY: Duration = Duration::from_millis(15);
 
-/// How often a worker repeats a part of an endless tail in one write at full speed, and the time between two
-/// parts of a slow one.
-const TAIL_REPETITIONS: usize = 1024;
-const TAIL_INTERVAL: Duration = Duration::from_millis(50);
-/// What an endless tail begins with, and what it repeats: chunks that can't be read, and chunks without output.
-const ENDLESS_TAILS: [(&str, &str); 12] = [
-    ("", ""),
-    ("zz\r\n", ""),
-    ("c0000000\r\n", "x"),
-    ("c0000000\r\n", "\n"),
-    ("c0000000\r\n", ": ping\n\n"),
-    ("c0000000\r\n", "data: {\"choices\":[]}\n\n"),
-    ("", "1\r\n\n\r\n"),
-    ("", "8\r\n: ping\n\n\r\n"),
-    ("", "7\r\ndata:\n\n\r\n"),
-    ("", "16\r\ndata: {\"choices\":[]}\n\n\r\n"),
-    ("0\r\n", "data: x\r\n"),
-    ("", "e\r\ndata: [DONE]\n\n\r\n"),
-];
-
-/// How fast a worker sends an endless tail.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum TailSpeed {
-    Full,
-    Slow,
-}
-
-/// What a worker sends in place of the rest of an answer.
-struct EndlessTail {
-    prefix: &'static str,
-    repeated: &'static str,
-    speed: TailSpeed,
-}
-
-impl EndlessTail {
-    fn draw() -> EndlessTail {
-        let (prefix, repeated) = ENDLESS_TAILS[rand::rng().random_range(0..ENDLESS_TAILS.len())];
-        let speed = if happens(0.5) { TailSpeed::Full } else { TailSpeed::Slow };
-        EndlessTail { prefix, repeated, speed }
-    }
-}
-
 /// The size of a request in tokens.
 #[derive(Clone, Copy)]
 pub(super) struct RequestSize {
@@ -88,7 +43,7 @@
 }
 
 /// Draws whether an event of this probability occurs.
-fn happens(probability: f64) -> bool {
+pub(super) fn happens(probability: f64) -> bool {
     probability > 0.0 && rand::rng().random_bool(probability.min(1.0))
 }
 
@@ -183,7 +138,7 @@
             }
             self.stream_event(event).await?;
             if malformed_after == Some(event + 1) {
-                return self.stream_endless_tail().await;
+                return self.stream_malformed(event + 1..event_count).await;
             }
         }
         self.end_stream(event_count).await
@@ -205,7 +160,7 @@
 
     /// Encodes an event. Its content is the request id, the connection id, the number of the event and the
     /// current time, all of which the client checks.
-    fn encode_event(&self, number: u64) -> String {
+    pub(super) fn encode_event(&self, number: u64) -> String {
         let (request, connection, now) = (&self.request, self.connection, clock::now().as_micros());
         format!(
             "data: {{\"choices\":[{{\"index\":0,\
@@ -268,54 +223,7 @@
         .await
     }
 
-    /// Sends one of four kinds of malformed response, and closes the connection after [`HANG_DURATION`]:
-    /// bytes that are not HTTP, a head that does not end, an invalid chunk size, or a chunk of 3 GiB that
-    /// does not end.
-    async fn respond_malformed(&mut self) -> io::Result<ConnectionUse> {
-        self.record_completion(0, false, false);
-        let variant = rand::rng().random_range(0..4);
-        match variant {
-            0 => self.write(b"\x00\x01 what is this\r\n\r\n").await?,
-            1 => {
-                let unterminated_header: Vec<u8> =
-                    b"x-filler: ".iter().copied().cycle().take(UNTERMINATED_RESPONSE_BYTES).collect();
-                self.write(&unterminated_header).await?;
-            }
-            2 => {
-                self.write(STREAM_HEAD.as_bytes()).await?;
-                self.write(b"zz\r\ndata: no\n\n\r\n").await?;
-            }
-            _ => {
-                self.write(STREAM_HEAD.as_bytes()).await?;
-                self.write(b"c0000000\r\n").await?;
-                self.write(&vec![b'x'; UNTERMINATED_RESPONSE_BYTES]).await?;
-            }
-        }
-        tokio::time::sleep(HANG_DURATION).await;
-        Ok(ConnectionUse::Close)
-    }
-
-    /// Sends something after an event that neither continues nor ends the answer, until the router closes the
-    /// connection, for [`HANG_DURATION`] at most.
-    async fn stream_endless_tail(&mut self) -> io::Result<ConnectionUse> {
-        self.record_completion(0, false, false);
-        let tail = EndlessTail::draw();
-        self.write(tail.prefix.as_bytes()).await?;
-        let repeated = match tail.speed {
-            TailSpeed::Full => tail.repeated.repeat(TAIL_REPETITIONS),
-            TailSpeed::Slow => tail.repeated.to_owned(),
-        };
-        let end = Instant::now() + HANG_DURATION;
-        while Instant::now() < end {
-            self.write(repeated.as_bytes()).await?;
-            if tail.speed == TailSpeed::Slow || repeated.is_empty() {
-                tokio::time::sleep(TAIL_INTERVAL).await;
-            }
-        }
-        Ok(ConnectionUse::Close)
-    }
-
-    async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+    pub(super) async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
         self.worker.wait_until_resumed().await;
         self.output.write_all(bytes).await?;
         self.output.flush().await
@@ -325,7 +233,7 @@
         self.worker.history.add(record);
     }
 
-    fn record_completion(&self, status: u16, was_not_executed: bool, is_complete: bool) {
+    pub(super) fn record_completion(&self, status: u16, was_not_executed: bool, is_complete: bool) {
         self.record(Record::CallCompleted {
             request: self.request.clone(),
             worker: self.worker.settings.index,
--- a/crates/fleet-emulator/src/worker/mod.rs
+++ b/crates/fleet-emulator/src/worker/mod.rs
@@ -3,6 +3,7 @@
 
 mod cache;
 mod exchange;
+mod malformed_response;
 
 pub use cache::CacheReservations;
 
