--- a/src/policy/prefix_table.rs
+++ b/src/policy/prefix_table.rs
@@ -191,4 +191,5 @@
 }
 
 #[cfg(test)]
+#[path = "prefix_table_tests.rs"]
 mod tests;
