--- a/src/policy/prefix_table.rs
+++ b/src/policy/prefix_table.rs
@@ -6,8 +6,8 @@
 
 /// A prefix is presumed to be cached for this long after it was last sent to a worker (Preble's value).
 const PREFIX_LIFETIME: Micros = 30_000_000;
-/// The maximum number of entries, since clients may send ever new names. When it is reached, the older half is
-/// removed. It is far more than a router sends within [`PREFIX_LIFETIME`].
+/// The maximum number of entries, since clients may send ever new names. When it is reached, the older half
+/// is removed. It is far more than a router sends within [`PREFIX_LIFETIME`].
 const MAX_ENTRIES: usize = 8192;
 
 /// A prefix presumed to be cached at a worker.
--- a/src/policy/worker.rs
+++ b/src/policy/worker.rs
@@ -34,8 +34,8 @@
     }
 }
 
-/// The maximum number of classes and tenants whose rejections are recorded for a worker, since clients may send
-/// ever new names of tenants.
+/// The maximum number of classes and tenants whose rejections are recorded for a worker, since clients may
+/// send ever new names of tenants.
 const MAX_REJECTED_TRAFFIC: usize = 64;
 
 /// The request class and tenant to which a rejection by a worker applies.
