Limit the line with the size of a chunk that a worker sends

What callers saw: a worker that sends the digits of a chunk's size at full speed holds up the event loop; its own stream was ended after 5.03 s, in place of 4.5 s.

Cause: hyper skips leading zeros without a limit, byte by byte, and reads all that have arrived in one turn.

Change: the connection fails once such a line is longer than the 256 bytes that the parser of the framing inspects; a longer one was taken for the last chunk there.

--- a/src/net/framing.rs
+++ b/src/net/framing.rs
@@ -8,7 +8,7 @@
 use std::collections::VecDeque;
 
 /// The number of bytes of one header line that are inspected; framing headers are far shorter.
-const MAX_INSPECTED_LINE_BYTES: usize = 256;
+pub const MAX_INSPECTED_LINE_BYTES: usize = 256;
 
 /// Whether a request's head determines the end of its body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -87,6 +87,8 @@
     state: ParserState,
     /// The received part of the current line, up to [`MAX_INSPECTED_LINE_BYTES`].
     line: Vec<u8>,
+    /// The length of that part, including what is not kept.
+    line_length: usize,
     head: FramingFields,
     /// The declared length of the last chunk.
     chunk_length: u64,
@@ -111,6 +113,11 @@
         self.heads.pop_front().unwrap_or(HeadFraming::Ambiguous)
     }
 
+    /// The length of the line with a chunk's size, as far as it has been received; 0 outside of such a line.
+    pub fn chunk_size_line_length(&self) -> usize {
+        if self.state == ParserState::ChunkSize { self.line_length } else { 0 }
+    }
+
     /// Forgets the heads that have not been taken by [`next_head`](Self::next_head).
     pub fn discard_heads(&mut self) {
         self.heads.clear();
@@ -169,9 +176,11 @@
     fn parse_line(&mut self, bytes: &[u8]) -> usize {
         let end = bytes.iter().position(|b| *b == b'\n');
         let part = &bytes[..end.unwrap_or(bytes.len())];
+        self.line_length += part.len();
         let capacity = MAX_INSPECTED_LINE_BYTES.saturating_sub(self.line.len());
         self.line.extend_from_slice(&part[..part.len().min(capacity)]);
         let Some(end) = end else { return bytes.len() };
+        self.line_length = 0;
         let line = std::mem::take(&mut self.line);
         let line = line.strip_suffix(b"\r").unwrap_or(&line);
         match self.state {
--- a/src/net/upstream/response_limits.rs
+++ b/src/net/upstream/response_limits.rs
@@ -1,7 +1,7 @@
 //! Limits on what a worker sends in response to a request. hyper limits a head, but neither the number of
 //! informational responses in front of it nor the length of a chunk.
 
-use crate::net::framing::FramingParser;
+use crate::net::framing::{FramingParser, MAX_INSPECTED_LINE_BYTES};
 
 /// The maximum number of bytes that are read before a response begins: its head, informational responses in
 /// front of it, and what was read together with the head.
@@ -10,6 +10,10 @@
 /// stream after it can't be told from its content.
 const MAX_CHUNK_BYTES: u64 = 256 * 1024;
 
+/// The maximum length of the line with a chunk's size, of which the parser inspects no more. hyper reads digits
+/// without end, and all that have arrived at once.
+const MAX_CHUNK_SIZE_LINE_BYTES: usize = MAX_INSPECTED_LINE_BYTES;
+
 /// Why a response can't be read further.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub(super) enum ResponseTooLong {
@@ -19,6 +23,9 @@
     /// A chunk is said to be longer than [`MAX_CHUNK_BYTES`].
     #[error("a chunk is longer than {MAX_CHUNK_BYTES} bytes")]
     Chunk,
+    /// The line with a chunk's size is longer than [`MAX_CHUNK_SIZE_LINE_BYTES`].
+    #[error("the size of a chunk has more than {MAX_CHUNK_SIZE_LINE_BYTES} bytes")]
+    ChunkSizeLine,
 }
 
 /// The part of a response that has been read.
@@ -53,6 +60,9 @@
             if self.framing.chunk_length() > MAX_CHUNK_BYTES {
                 self.exceeded = Some(ResponseTooLong::Chunk);
             }
+            if self.framing.chunk_size_line_length() > MAX_CHUNK_SIZE_LINE_BYTES {
+                self.exceeded = Some(ResponseTooLong::ChunkSizeLine);
+            }
         }
     }
 
--- a/src/net/upstream/response_limits/tests.rs
+++ b/src/net/upstream/response_limits/tests.rs
@@ -44,3 +44,16 @@
     (0..2 * reads).for_each(|_| limits.record(&informational));
     assert_eq!(limits.check(), Ok(()));
 }
+
+/// Guards against digits without end, which hyper reads in one turn of the event loop as long as they come.
+#[test]
+fn the_line_with_the_size_of_a_chunk_is_limited() {
+    let mut limits = ResponseLimits::default();
+    limits.record(CHUNKED.as_bytes());
+    limits.record(&[b'0'; MAX_CHUNK_SIZE_LINE_BYTES - 1]);
+    limits.record(b"5\r\nhello\r\n");
+    limits.record(&[b'0'; MAX_CHUNK_SIZE_LINE_BYTES]);
+    assert_eq!(limits.check(), Ok(()));
+    limits.record(b"0");
+    assert_eq!(limits.check(), Err(ResponseTooLong::ChunkSizeLine));
+}
