--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -12,6 +12,7 @@
 pub mod server;
 pub mod shim;
 pub mod tool_server;
+pub mod watcher;
 mod workers;
 
 pub use flood::Flood;
