Hedge calls to discovery instead of abandoning them after 1 s

Cause: a call to a local agent had to be complete, body included, within 1 s. One that was not was abandoned and repeated with the same limit, so an agent that needs longer for each call was never heard: neither its list nor, as no watch is opened before it, any change.

The same holds for an agent that writes its list at once, but each response 1.2 s late.

Change: where the agent is silent for 1 s, another call starts beside the one in progress, three at once at most. The oldest stays, for 30 s at most, for an agent that is late; the others are renewed, for one that lost its calls. Data of a list counts as activity. Calls to a shared service are not hedged, as each of them takes its turn there.

--- a/src/net/discovery/backoff.rs
+++ b/src/net/discovery/backoff.rs
@@ -66,8 +66,8 @@
         }
     }
 
-    /// The timeout of a call, connecting included.
-    pub(super) fn call_timeout(&self) -> Duration {
-        self.mode.call_timeout()
+    /// The way in which discovery is deployed.
+    pub(super) fn mode(&self) -> DiscoveryMode {
+        self.mode
     }
 }
--- a/src/net/discovery/client.rs
+++ b/src/net/discovery/client.rs
@@ -3,7 +3,9 @@
 use super::MAX_MESSAGE_BYTES;
 use super::connector::Connector;
 use super::error::DiscoveryError;
+use super::hedging::{CallActivity, call_with_hedging};
 use super::messages::EndpointListMessage;
+use super::mode::DiscoveryMode;
 use super::update::EndpointUpdate;
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Empty};
@@ -12,33 +14,36 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::net::SocketAddr;
-use std::time::Duration;
 
 const LIST_PATH: &str = "/v1/servers";
 
-/// HTTP client of one discovery agent; opens a new connection for each call.
+/// HTTP client of one discovery agent; opens a new connection for each call. A call may be hedged, and its
+/// timeout includes connecting; both depend on the mode.
 pub struct DiscoveryClient {
     address: SocketAddr,
     connector: Connector,
-    call_timeout: Duration,
+    mode: DiscoveryMode,
 }
 
 impl DiscoveryClient {
-    /// Creates a client of the agent at `address` whose calls time out after `call_timeout`.
-    pub fn new(address: SocketAddr, connector: Connector, call_timeout: Duration) -> Self {
-        DiscoveryClient { address, connector, call_timeout }
+    /// Creates a client of the agent at `address`.
+    pub fn new(address: SocketAddr, connector: Connector, mode: DiscoveryMode) -> Self {
+        DiscoveryClient { address, connector, mode }
     }
 
-    /// Fetches the complete list. The timeout covers the call from connecting to the last byte of the body.
+    /// Fetches the complete list. The timeout covers a call up to the last byte of the body.
     pub async fn poll(&self) -> Result<EndpointUpdate, DiscoveryError> {
-        self.with_timeout(LIST_PATH, self.fetch_list()).await
+        let activity = CallActivity::start();
+        let call = || self.with_timeout(LIST_PATH, self.fetch_list(&activity));
+        call_with_hedging(LIST_PATH, self.mode.hedging(), &activity, call).await
     }
 
-    /// Opens a watch of the changes after a sequence number. The timeout covers the call up to the response
-    /// head.
+    /// Opens a watch of the changes after a sequence number. The timeout covers a call up to the response head.
     pub async fn open_watch(&self, after: u64) -> Result<Incoming, DiscoveryError> {
         let target = format!("{LIST_PATH}?watch=1&after={after}");
-        let response = self.with_timeout(&target, self.get(&target)).await?;
+        let activity = CallActivity::start();
+        let call = || self.with_timeout(&target, self.get(&target));
+        let response = call_with_hedging(&target, self.mode.hedging(), &activity, call).await?;
         Ok(response.into_body())
     }
 
@@ -47,15 +52,16 @@
         target: &str,
         call: impl Future<Output = Result<T, DiscoveryError>>,
     ) -> Result<T, DiscoveryError> {
-        let timeout = self.call_timeout;
+        let timeout = self.mode.call_timeout();
         tokio::time::timeout(timeout, call).await.unwrap_or_else(|_| {
             Err(DiscoveryError::CallTimedOut { address: self.address, target: target.to_owned(), timeout })
         })
     }
 
-    async fn fetch_list(&self) -> Result<EndpointUpdate, DiscoveryError> {
+    /// Fetches the complete list, and records the data of its body as activity.
+    async fn fetch_list(&self, activity: &CallActivity) -> Result<EndpointUpdate, DiscoveryError> {
         let response = self.get(LIST_PATH).await?;
-        let body = read_body(response.into_body()).await?;
+        let body = read_body(response.into_body(), activity).await?;
         let message: EndpointListMessage = serde_json::from_slice(&body).map_err(DiscoveryError::Parse)?;
         // The response to a poll is the complete list, even if the message does not say so.
         Ok(EndpointUpdate { complete: true, ..message.into() })
@@ -87,10 +93,11 @@
     }
 }
 
-async fn read_body(mut body: Incoming) -> Result<BytesMut, DiscoveryError> {
+async fn read_body(mut body: Incoming, activity: &CallActivity) -> Result<BytesMut, DiscoveryError> {
     let mut bytes = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.map_err(DiscoveryError::Body)?.into_data() else { continue };
+        activity.record();
         if bytes.len() + data.len() > MAX_MESSAGE_BYTES {
             return Err(DiscoveryError::MessageTooLong { limit: MAX_MESSAGE_BYTES });
         }
--- a/src/net/discovery/connector.rs
+++ b/src/net/discovery/connector.rs
@@ -1,14 +1,17 @@
 //! Connectors that open the byte streams to discovery.
 
-use super::mode::LOCAL_CALL_TIMEOUT;
 use crate::net::LocalBoxFuture;
 use crate::net::socket::{Socket, connect};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::time::Instant;
 
+/// How long connecting is retried while the system lacks resources for it.
+const LOCAL_RETRY_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// A bidirectional byte stream to the agent.
 pub trait DiscoveryStream: AsyncRead + AsyncWrite + Unpin {}
 
@@ -21,7 +24,7 @@
 pub fn tcp_connector() -> Connector {
     Rc::new(|address| {
         Box::pin(async move {
-            let stream = connect(address, Instant::now() + LOCAL_CALL_TIMEOUT).await?;
+            let stream = connect(address, Instant::now() + LOCAL_RETRY_TIMEOUT).await?;
             Ok(Box::new(Socket::new(Rc::new(stream))) as Box<dyn DiscoveryStream>)
         })
     })
--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -14,6 +14,7 @@
 mod connector;
 mod directory;
 mod error;
+mod hedging;
 mod messages;
 mod mode;
 mod object_scanner;
--- a/src/net/discovery/mode.rs
+++ b/src/net/discovery/mode.rs
@@ -1,10 +1,16 @@
-//! The ways in which discovery is deployed, and the call timeout of each.
+//! The ways in which discovery is deployed, and how each is called.
 
+use super::hedging::HedgingPolicy;
 use crate::interface::Settings;
 use std::time::Duration;
 
-/// Timeout of a call to the agent on the same machine, which responds at once; it includes connecting.
-pub const LOCAL_CALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Timeout of a call to the agent on the same machine. An agent may be slow, and calls are hedged, so it only
+/// limits how long a lost call is kept.
+const LOCAL_CALL_TIMEOUT: Duration = Duration::from_secs(30);
+/// Hedging of calls to the agent on the same machine, where calls are cheap and mostly answered at once.
+const LOCAL_HEDGING: HedgingPolicy = HedgingPolicy { delay: Duration::from_secs(1), max_calls: 3 };
+/// Calls to a shared service are not hedged: it would process each of them.
+const NO_HEDGING: HedgingPolicy = HedgingPolicy { delay: Duration::ZERO, max_calls: 1 };
 /// Timeout of a call to a shared service, which queues calls and fails them itself after 2 s. A router that
 /// timed out earlier would join the end of the queue again, and the service would still process the abandoned
 /// call.
@@ -34,4 +40,12 @@
             DiscoveryMode::SharedService => SHARED_CALL_TIMEOUT,
         }
     }
+
+    /// The hedging of calls.
+    pub fn hedging(self) -> HedgingPolicy {
+        match self {
+            DiscoveryMode::LocalAgent => LOCAL_HEDGING,
+            DiscoveryMode::SharedService => NO_HEDGING,
+        }
+    }
 }
--- a/src/net/discovery/watcher.rs
+++ b/src/net/discovery/watcher.rs
@@ -101,7 +101,7 @@
         address: SocketAddr,
         agent: &AgentState,
     ) -> Result<Infallible, DiscoveryError> {
-        let client = DiscoveryClient::new(address, self.connector.clone(), self.backoff.call_timeout());
+        let client = DiscoveryClient::new(address, self.connector.clone(), self.backoff.mode());
         if agent.needs_snapshot() {
             let snapshot = client.poll().await?;
             if snapshot.endpoints.is_empty() {
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -8,7 +8,8 @@
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
-use std::thread::JoinHandle;
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
 use support::*;
 
 /// A worker in a discovery message, with an optional address.
@@ -130,6 +131,46 @@
     assert_eq!(["reloads", "reloads_failed", "requests_received"].map(|name| counters.get(name)), [1, 1, 2]);
 }
 
+/// Guards against a call that is abandoned while its response arrives: the list of a new agent would never be
+/// received, and a worker that drains would be sent requests until it ends.
+#[test]
+fn list_that_a_new_agent_sends_in_pieces_is_applied() {
+    const PIECES: usize = 10;
+    const PAUSE: Duration = Duration::from_millis(160);
+    let (old_decode, old_requests) = recording_peer(|_, _| false);
+    let (prefill, new_decode) = (Peer::prefill_worker(), decode_worker());
+    let listed = [
+        endpoint("prompt-0", "prompt", "ready", Some(prefill.address)),
+        endpoint("answer-0", "answer", "draining", Some(old_decode.address)),
+        endpoint("answer-9", "answer", "ready", Some(new_decode.address)),
+    ];
+    let list = format!("{{\"seq\":1,\"whole\":true,\"hosts\":[{}]}}", listed.join(","));
+    let (record_request_line, request_lines) = shared_channel();
+    let new_agent = Peer::start(move |message, conn| {
+        record_request_line(message.start_line.clone());
+        conn.begin_stream();
+        if message.start_line.contains("watch") {
+            return !conn.wait_for_close();
+        }
+        for piece in list.as_bytes().chunks(list.len().div_ceil(PIECES)) {
+            conn.send_chunk(std::str::from_utf8(piece).unwrap());
+            thread::sleep(PAUSE);
+        }
+        let _ = conn.stream.write_all(b"0\r\n\r\n");
+        true
+    });
+    let file = |extra: &str| operator_file(&[prefill.address], &[old_decode.address], extra);
+    let (old_agent, _lines) = discovery_agent();
+    let router = RouterProcess::start(&file(&format!("discovery = \"{}\"", old_agent.address)));
+    router.reload(&file(&format!("discovery = \"{}\"", new_agent.address)));
+    for expected in ["GET /v1/servers HTTP", "GET /v1/servers?watch=1&after=1 HTTP"] {
+        let request_line = request_lines.recv_timeout(Duration::from_secs(4)).unwrap();
+        assert!(request_line.starts_with(expected), "{request_line}");
+    }
+    assert_eq!(router.request("id-1", "send").status(), 200);
+    assert_eq!(old_requests.try_iter().count(), 0);
+}
+
 /// Idle clients that reconnect as soon as their connection is closed, and so use each file descriptor that
 /// becomes free.
 struct IdleClients {
@@ -142,7 +183,7 @@
     fn start(address: SocketAddr, count: usize) -> IdleClients {
         let stop = Arc::new(AtomicBool::new(false));
         let stopped = stop.clone();
-        let thread = std::thread::spawn(move || {
+        let thread = thread::spawn(move || {
             let mut clients: Vec<_> = (0..count).map(|i| Self::connect(address, i)).collect();
             while !stopped.load(Ordering::SeqCst) {
                 for (i, client) in clients.iter_mut().enumerate() {
@@ -150,7 +191,7 @@
                         *client = Self::connect(address, i);
                     }
                 }
-                std::thread::yield_now();
+                thread::yield_now();
             }
         });
         IdleClients { stop, thread }
--- a/tests/support/watcher.rs
+++ b/tests/support/watcher.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream};
 use tokio::sync::{Notify, mpsc, watch};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 /// Time within which the driver has to be notified of a change once discovery has it and is reachable.
 pub const UPDATE_DEADLINE: Duration = Duration::from_secs(6);
@@ -54,6 +54,29 @@
         let _ = self.stream.write_all(text.as_bytes()).await;
     }
 
+    /// Begins a response with the first `bytes` bytes of its body.
+    pub async fn begin_response(&mut self, body: &str, bytes: usize) {
+        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
+        let _ = self.stream.write_all(head.as_bytes()).await;
+        let _ = self.stream.write_all(&body.as_bytes()[..bytes]).await;
+    }
+
+    /// Whether the router has closed the connection.
+    pub async fn is_closed(&mut self) -> bool {
+        matches!(timeout(Duration::from_millis(1), self.stream.read_u8()).await, Ok(Err(_)))
+    }
+
+    /// Responds with a body in `pieces` pieces of equal length, over `duration` from the first to the last.
+    pub async fn respond_in_pieces(&mut self, body: &str, pieces: usize, duration: Duration) {
+        self.begin_response(body, 0).await;
+        for (number, piece) in split(body, pieces).enumerate() {
+            if number > 0 {
+                sleep(duration / (pieces as u32 - 1)).await;
+            }
+            let _ = self.stream.write_all(piece.as_bytes()).await;
+        }
+    }
+
     pub async fn begin_watch(&mut self) {
         let head = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
         let _ = self.stream.write_all(head).await;
@@ -64,11 +87,65 @@
         let _ = self.stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()).await;
     }
 
+    /// Writes a line in `pieces` chunks of equal length, over `duration` from the first to the last.
+    pub async fn write_line_in_pieces(&mut self, text: &str, pieces: usize, duration: Duration) {
+        let line = format!("{text}\n");
+        for (number, piece) in split(&line, pieces).enumerate() {
+            if number > 0 {
+                sleep(duration / (pieces as u32 - 1)).await;
+            }
+            self.write_chunk(piece).await;
+        }
+    }
+
     pub async fn write_line(&mut self, text: &str) {
         self.write_chunk(&format!("{text}\n")).await;
     }
 }
 
+/// Splits an ASCII text into pieces of equal length; the last one may be shorter.
+fn split(text: &str, pieces: usize) -> impl Iterator<Item = &str> {
+    let piece_length = text.len().div_ceil(pieces);
+    (0..text.len()).step_by(piece_length).map(move |at| &text[at..text.len().min(at + piece_length)])
+}
+
+/// An agent that serves a list and watches without changes, slowly.
+#[derive(Clone, Copy)]
+pub struct SlowAgent {
+    /// The time from a request to the head of its response.
+    pub response_delay: Duration,
+    /// The time from the first byte of the list to its last.
+    pub list_time: Duration,
+}
+
+impl SlowAgent {
+    /// The number of pieces of the list.
+    const PIECES: usize = 10;
+
+    /// Serves the calls of a watcher from now on.
+    pub fn spawn(self, fixture: &mut Fixture, list: &str) {
+        let (_, no_calls) = mpsc::unbounded_channel();
+        let mut calls = std::mem::replace(&mut fixture.calls, no_calls);
+        let list = list.to_owned();
+        tokio::task::spawn_local(async move {
+            while let Some(call) = calls.recv().await {
+                tokio::task::spawn_local(self.serve(call, list.clone()));
+            }
+        });
+    }
+
+    async fn serve(self, mut call: Call, list: String) {
+        let is_watch = call.request_line().await.contains("watch=1");
+        sleep(self.response_delay).await;
+        if is_watch {
+            call.begin_watch().await;
+            call.write_line_in_pieces(&list, Self::PIECES, self.list_time).await;
+            std::future::pending::<()>().await;
+        }
+        call.respond_in_pieces(&list, Self::PIECES, self.list_time).await;
+    }
+}
+
 /// A running watcher with its inputs and outputs.
 pub struct Fixture {
     pub calls: mpsc::UnboundedReceiver<Call>,
