Abandon a message of discovery when its data stops, not 3 s after its start

A whole list on a watch that takes over 3 s was abandoned, and the next watch began with the same list: an agent that writes slowly was never heard. So was a shared service whose response was complete over 2.25 s after the call.

Cause: the limits counted from the start of a message, or of the call, whether or not its data arrived.

Change: a message is abandoned after 3 s without data, whitespace not counted, which may be a heartbeat. One whose data goes on may take 5.5 s, so that its change can be requested again within 6 s, and twice as long after each that was longer, up to 44 s, until a message is complete. The errors tell the two apart, with the bytes that had arrived.

--- a/src/net/discovery/agent.rs
+++ b/src/net/discovery/agent.rs
@@ -1,5 +1,6 @@
 //! The state of polling and watching the discovery agent.
 
+use super::message_timer::MessageTimeout;
 use super::update::EndpointUpdate;
 use std::cell::Cell;
 
@@ -35,6 +36,8 @@
     needs_snapshot: Cell<bool>,
     /// Consecutive failures: calls failed and watches lost since a watch was last opened.
     failures: Cell<u32>,
+    /// The time that a message of this agent may take.
+    message_timeout: MessageTimeout,
 }
 
 impl AgentState {
@@ -43,6 +46,7 @@
         self.newest_sequence.set(None);
         self.needs_snapshot.set(true);
         self.failures.set(0);
+        self.message_timeout.reset();
     }
 
     /// Checks whether an update may be applied, and records its sequence number if so.
@@ -50,6 +54,7 @@
     /// # Errors
     /// The update is outdated, or is a complete list without workers.
     pub fn accept(&self, update: &EndpointUpdate) -> Result<(), UpdateRejection> {
+        self.message_timeout.reset();
         let sequence = update.sequence;
         if let Some(newest) = self.newest_sequence.get().filter(|newest| sequence < *newest) {
             return Err(UpdateRejection::Outdated { sequence, newest });
@@ -74,6 +79,11 @@
         self.failures.get()
     }
 
+    /// The time that a message may take from its first byte to its last.
+    pub fn message_timeout(&self) -> &MessageTimeout {
+        &self.message_timeout
+    }
+
     /// Records that a call failed or a watch was lost.
     pub fn record_failure(&self) {
         self.failures.set(self.failures.get().saturating_add(1));
--- a/src/net/discovery/client.rs
+++ b/src/net/discovery/client.rs
@@ -4,6 +4,7 @@
 use super::connector::Connector;
 use super::error::DiscoveryError;
 use super::hedging::{CallActivity, call_with_hedging};
+use super::message_timer::{MessageTimeout, MessageTimer};
 use super::messages::EndpointListMessage;
 use super::mode::DiscoveryMode;
 use super::update::EndpointUpdate;
@@ -14,11 +15,12 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::net::SocketAddr;
+use tokio::time::timeout_at;
 
 const LIST_PATH: &str = "/v1/servers";
 
-/// HTTP client of one discovery agent; opens a new connection for each call. A call may be hedged, and its
-/// timeout includes connecting; both depend on the mode.
+/// HTTP client of one discovery agent; opens a new connection for each call. Whether a call is hedged, and its
+/// timeout up to the response head, depend on the mode.
 pub struct DiscoveryClient {
     address: SocketAddr,
     connector: Connector,
@@ -31,45 +33,46 @@
         DiscoveryClient { address, connector, mode }
     }
 
-    /// Fetches the complete list. The timeout covers a call up to the last byte of the body.
-    pub async fn poll(&self) -> Result<EndpointUpdate, DiscoveryError> {
+    /// Fetches the complete list, whose body may take `message_timeout`.
+    pub async fn poll(&self, message_timeout: &MessageTimeout) -> Result<EndpointUpdate, DiscoveryError> {
         let activity = CallActivity::start();
-        let call = || self.with_timeout(LIST_PATH, self.fetch_list(&activity));
+        let call = || self.fetch_list(&activity, message_timeout);
         call_with_hedging(LIST_PATH, self.mode.hedging(), &activity, call).await
     }
 
-    /// Opens a watch of the changes after a sequence number. The timeout covers a call up to the response head.
+    /// Opens a watch of the changes after a sequence number.
     pub async fn open_watch(&self, after: u64) -> Result<Incoming, DiscoveryError> {
         let target = format!("{LIST_PATH}?watch=1&after={after}");
         let activity = CallActivity::start();
-        let call = || self.with_timeout(&target, self.get(&target));
+        let call = || self.get(&target);
         let response = call_with_hedging(&target, self.mode.hedging(), &activity, call).await?;
         Ok(response.into_body())
     }
 
-    async fn with_timeout<T>(
-        &self,
-        target: &str,
-        call: impl Future<Output = Result<T, DiscoveryError>>,
-    ) -> Result<T, DiscoveryError> {
-        let timeout = self.mode.call_timeout();
-        tokio::time::timeout(timeout, call).await.unwrap_or_else(|_| {
-            Err(DiscoveryError::CallTimedOut { address: self.address, target: target.to_owned(), timeout })
-        })
-    }
-
     /// Fetches the complete list, and records the data of its body as activity.
-    async fn fetch_list(&self, activity: &CallActivity) -> Result<EndpointUpdate, DiscoveryError> {
+    async fn fetch_list(
+        &self,
+        activity: &CallActivity,
+        message_timeout: &MessageTimeout,
+    ) -> Result<EndpointUpdate, DiscoveryError> {
         let response = self.get(LIST_PATH).await?;
-        let body = read_body(response.into_body(), activity).await?;
+        let body = read_body(response.into_body(), activity, MessageTimer::start(message_timeout)).await?;
         let message: EndpointListMessage = serde_json::from_slice(&body).map_err(DiscoveryError::Parse)?;
         // The response to a poll is the complete list, even if the message does not say so.
         Ok(EndpointUpdate { complete: true, ..message.into() })
     }
 
-    /// Sends a request and returns its response once the head has arrived. The connection is driven by its
-    /// own task, which ends when the response is dropped, or when this future is dropped before it returns.
+    /// Sends a request and returns its response once the head has arrived, with the call timeout of the mode.
     async fn get(&self, target: &str) -> Result<Response<Incoming>, DiscoveryError> {
+        let timeout = self.mode.call_timeout();
+        tokio::time::timeout(timeout, self.send(target)).await.unwrap_or_else(|_| {
+            Err(DiscoveryError::CallTimedOut { address: self.address, target: target.to_owned(), timeout })
+        })
+    }
+
+    /// Connects and sends a request. The connection is driven by its own task, which ends when the response is
+    /// dropped, or when this future is dropped before it returns.
+    async fn send(&self, target: &str) -> Result<Response<Incoming>, DiscoveryError> {
         let address = self.address;
         let stream =
             (self.connector)(address).await.map_err(|source| DiscoveryError::Connect { address, source })?;
@@ -93,15 +96,22 @@
     }
 }
 
-async fn read_body(mut body: Incoming, activity: &CallActivity) -> Result<BytesMut, DiscoveryError> {
+async fn read_body(
+    mut body: Incoming,
+    activity: &CallActivity,
+    mut timer: MessageTimer<'_>,
+) -> Result<BytesMut, DiscoveryError> {
     let mut bytes = BytesMut::new();
-    while let Some(frame) = body.frame().await {
+    loop {
+        let frame =
+            timeout_at(timer.deadline(), body.frame()).await.map_err(|_| timer.expire(bytes.len()))?;
+        let Some(frame) = frame else { return Ok(bytes) };
         let Ok(data) = frame.map_err(DiscoveryError::Body)?.into_data() else { continue };
         activity.record();
+        timer.record_data(&data);
         if bytes.len() + data.len() > MAX_MESSAGE_BYTES {
             return Err(DiscoveryError::MessageTooLong { limit: MAX_MESSAGE_BYTES });
         }
         bytes.extend_from_slice(&data);
     }
-    Ok(bytes)
 }
--- a/src/net/discovery/error.rs
+++ b/src/net/discovery/error.rs
@@ -76,7 +76,23 @@
     /// The snapshot of a new agent has no workers: the agent has just started and does not know them yet.
     #[error("the polled endpoint list is empty")]
     EmptySnapshot,
-    /// No line ended within the idle timeout, or a message stayed incomplete or malformed for too long.
+    /// An incomplete message received no more data.
+    #[error("a message is incomplete and received no data for {timeout:?} after {received_bytes} bytes")]
+    MessageIdle {
+        /// The number of bytes of the message that were received.
+        received_bytes: usize,
+        /// The time without data.
+        timeout: Duration,
+    },
+    /// A message is incomplete, or has been lost, for too long, although data arrived.
+    #[error("a message is incomplete {timeout:?} after its start, with {received_bytes} bytes")]
+    MessageOverdue {
+        /// The number of bytes of the message that were received.
+        received_bytes: usize,
+        /// The time that the message was allowed to take.
+        timeout: Duration,
+    },
+    /// No line of a watch ended within the idle timeout.
     #[error("the watch made no progress for {timeout:?}")]
     WatchIdle {
         /// The idle timeout of a watch.
@@ -92,7 +108,9 @@
     /// recovered soon after this wait began.
     pub fn unresponsive_for(&self) -> Duration {
         match self {
-            DiscoveryError::CallTimedOut { timeout, .. } | DiscoveryError::WatchIdle { timeout } => *timeout,
+            DiscoveryError::CallTimedOut { timeout, .. }
+            | DiscoveryError::MessageIdle { timeout, .. }
+            | DiscoveryError::WatchIdle { timeout } => *timeout,
             _ => Duration::ZERO,
         }
     }
--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -15,6 +15,7 @@
 mod directory;
 mod error;
 mod hedging;
+mod message_timer;
 mod messages;
 mod mode;
 mod object_scanner;
--- a/src/net/discovery/watcher.rs
+++ b/src/net/discovery/watcher.rs
@@ -6,6 +6,7 @@
 use super::connector::Connector;
 use super::directory::Directory;
 use super::error::DiscoveryError;
+use super::messages::EndpointListMessage;
 use super::update::EndpointUpdate;
 use super::watch::read_watch;
 use crate::interface::{Endpoint, UpdateKind, WorkerId};
@@ -103,7 +104,7 @@
     ) -> Result<Infallible, DiscoveryError> {
         let client = DiscoveryClient::new(address, self.connector.clone(), self.backoff.mode());
         if agent.needs_snapshot() {
-            let snapshot = client.poll().await?;
+            let snapshot = client.poll(agent.message_timeout()).await?;
             if snapshot.endpoints.is_empty() {
                 return Err(DiscoveryError::EmptySnapshot);
             }
@@ -117,8 +118,9 @@
         // Watch and poll run concurrently so that neither delays the other; the failure of one ends both. A
         // poll that is cancelled with its watch is not repeated; the driver is notified that discovery is
         // unavailable.
+        let on_message = |message: EndpointListMessage| self.apply_from_agent(message.into(), agent);
         tokio::select! {
-            failed = read_watch(body, |message| self.apply_from_agent(message.into(), agent)) => failed,
+            failed = read_watch(body, agent.message_timeout(), on_message) => failed,
             failed = self.poll_on_request(&client, agent) => failed,
         }
     }
@@ -131,7 +133,7 @@
     ) -> Result<Infallible, DiscoveryError> {
         loop {
             self.poll_requested.notified().await;
-            let snapshot = client.poll().await?;
+            let snapshot = client.poll(agent.message_timeout()).await?;
             self.apply_from_agent(snapshot, agent);
         }
     }
--- a/tests/slow_discovery.rs
+++ b/tests/slow_discovery.rs
@@ -24,13 +24,24 @@
 
 /// Opens a watch at the old agent, then switches to the new one.
 async fn start_and_switch() -> Fixture {
-    let mut fixture = Fixture::start();
+    switch(Fixture::start()).await
+}
+
+async fn switch(mut fixture: Fixture) -> Fixture {
     let all = [endpoint("a", "ready"), endpoint("b", "ready")];
     fixture.accept_watch(&snapshot(5, &all)).await;
     fixture.switch_to_new_agent();
     fixture
 }
 
+/// Responds to the poll of the new agent with a list in which no worker drains.
+async fn accept_poll(fixture: &mut Fixture) {
+    let mut poll = fixture.next_call().await;
+    poll.request_line().await;
+    poll.respond(&snapshot(4, &[endpoint("a", "ready"), endpoint("b", "ready")])).await;
+    fixture.next_update().await;
+}
+
 /// Waits until worker a is no longer ready, with the deadline `EVENTUALLY`. Returns the time that it took.
 async fn wait_for_drain(fixture: &Fixture) -> Duration {
     let started_at = Instant::now();
@@ -47,10 +58,14 @@
 /// again and again, and a worker that drains would be sent requests.
 #[rstest]
 #[tokio::test(start_paused = true)]
-async fn list_in_pieces_is_not_abandoned(#[values(1_500, 3_500, 5_000)] list_ms: u64) {
+async fn list_in_pieces_is_not_abandoned(
+    #[values(1_500, 3_500, 5_000)] list_ms: u64,
+    #[values(false, true)] is_shared: bool,
+) {
     run_local(async {
         let list_time = Duration::from_millis(list_ms);
-        let mut fixture = start_and_switch().await;
+        let fixture = if is_shared { Fixture::start_with_shared_service() } else { Fixture::start() };
+        let mut fixture = switch(fixture).await;
         let mut poll = fixture.next_call().await;
         assert_eq!(poll.request_line().await, POLL_REQUEST_LINE);
         poll.respond_in_pieces(&list(), PIECES, list_time).await;
@@ -60,12 +75,35 @@
     .await;
 }
 
+/// Guards against a message of a watch that is abandoned while it arrives: the next watch would begin with the
+/// same message. Its newline may arrive later than the rest.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn watched_list_in_pieces_is_not_abandoned(#[values(3_200, 5_000)] list_ms: u64) {
+    run_local(async {
+        let mut fixture = Fixture::start();
+        let mut watch = fixture.accept_watch(&snapshot(4, &[endpoint("a", "ready")])).await;
+        watch.write_in_pieces(&list(), PIECES, Duration::from_millis(list_ms)).await;
+        assert!(wait_for_drain(&fixture).await <= TIMER_SLACK);
+        sleep(Duration::from_millis(500)).await;
+        watch.write_line("").await;
+        assert!(fixture.calls.try_recv().is_err(), "the watch was opened anew");
+    })
+    .await;
+}
+
 /// Guards against a list that is never received because it takes longer than the timeout of a message.
 #[rstest]
 #[tokio::test(start_paused = true)]
-async fn list_slower_than_the_message_timeout_is_received_eventually(#[values(8, 20)] list_seconds: u64) {
+async fn list_slower_than_the_message_timeout_is_received_eventually(
+    #[values(8, 20)] list_seconds: u64,
+    #[values(false, true)] on_watch: bool,
+) {
     run_local(async {
         let mut fixture = start_and_switch().await;
+        if on_watch {
+            accept_poll(&mut fixture).await;
+        }
         let agent =
             SlowAgent { response_delay: Duration::ZERO, list_time: Duration::from_secs(list_seconds) };
         agent.spawn(&mut fixture, &list());
--- a/tests/support/watcher.rs
+++ b/tests/support/watcher.rs
@@ -87,10 +87,9 @@
         let _ = self.stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()).await;
     }
 
-    /// Writes a line in `pieces` chunks of equal length, over `duration` from the first to the last.
-    pub async fn write_line_in_pieces(&mut self, text: &str, pieces: usize, duration: Duration) {
-        let line = format!("{text}\n");
-        for (number, piece) in split(&line, pieces).enumerate() {
+    /// Writes a text in `pieces` chunks of equal length, over `duration` from the first to the last.
+    pub async fn write_in_pieces(&mut self, text: &str, pieces: usize, duration: Duration) {
+        for (number, piece) in split(text, pieces).enumerate() {
             if number > 0 {
                 sleep(duration / (pieces as u32 - 1)).await;
             }
@@ -139,7 +138,7 @@
         sleep(self.response_delay).await;
         if is_watch {
             call.begin_watch().await;
-            call.write_line_in_pieces(&list, Self::PIECES, self.list_time).await;
+            call.write_in_pieces(&list, Self::PIECES, self.list_time).await;
             std::future::pending::<()>().await;
         }
         call.respond_in_pieces(&list, Self::PIECES, self.list_time).await;
@@ -158,7 +157,17 @@
 }
 
 impl Fixture {
+    /// Starts a watcher of an agent on the same machine.
     pub fn start() -> Fixture {
+        Fixture::start_with(Settings::default())
+    }
+
+    /// Starts a watcher of a discovery service that the routers share.
+    pub fn start_with_shared_service() -> Fixture {
+        Fixture::start_with(Settings { watch_required: true, ..Settings::default() })
+    }
+
+    fn start_with(settings: Settings) -> Fixture {
         let (driver, driver_inputs) = DriverHandle::channel(Clock::start());
         let (call_sender, calls) = mpsc::unbounded_channel();
         let (directory, poll_requested) = (Rc::<Directory>::default(), Rc::<Notify>::default());
@@ -169,7 +178,7 @@
             close_idle_connections: Box::new(|_| {}),
             poll_requested: poll_requested.clone(),
             connector: in_memory_connector(call_sender, accepts_connections.clone()),
-            backoff: Backoff::new(&Settings { replica_count: 3, ..Settings::default() }, 1),
+            backoff: Backoff::new(&Settings { replica_count: 3, ..settings }, 1),
             counters: Rc::default(),
         };
         let (address, address_receiver) = watch::channel(Some(address(OLD_AGENT)));
