Count the head of a list as activity of a hedged call, and name its agent in the log

A response whose head arrives within 1 s, and its first data within 1 s more, was asked for twice: only data counted as activity. The log line of a hedged call told the path, not the agent.

--- a/src/net/discovery/client.rs
+++ b/src/net/discovery/client.rs
@@ -37,7 +37,7 @@
     pub async fn poll(&self, message_timeout: &MessageTimeout) -> Result<EndpointUpdate, DiscoveryError> {
         let activity = CallActivity::start();
         let call = || self.fetch_list(&activity, message_timeout);
-        call_with_hedging(LIST_PATH, self.mode.hedging(), &activity, call).await
+        call_with_hedging(&self.name_call(LIST_PATH), self.mode.hedging(), &activity, call).await
     }
 
     /// Opens a watch of the changes after a sequence number.
@@ -45,17 +45,24 @@
         let target = format!("{LIST_PATH}?watch=1&after={after}");
         let activity = CallActivity::start();
         let call = || self.get(&target);
-        let response = call_with_hedging(&target, self.mode.hedging(), &activity, call).await?;
+        let response =
+            call_with_hedging(&self.name_call(&target), self.mode.hedging(), &activity, call).await?;
         Ok(response.into_body())
     }
 
-    /// Fetches the complete list, and records the data of its body as activity.
+    /// The name of a call in the log.
+    fn name_call(&self, target: &str) -> String {
+        format!("GET {target} at {}", self.address)
+    }
+
+    /// Fetches the complete list, and records the head and the data of the response as activity.
     async fn fetch_list(
         &self,
         activity: &CallActivity,
         message_timeout: &MessageTimeout,
     ) -> Result<EndpointUpdate, DiscoveryError> {
         let response = self.get(LIST_PATH).await?;
+        activity.record();
         let body = read_body(response.into_body(), activity, MessageTimer::start(message_timeout)).await?;
         let message: EndpointListMessage = serde_json::from_slice(&body).map_err(DiscoveryError::Parse)?;
         // The response to a poll is the complete list, even if the message does not say so.
--- a/tests/slow_discovery.rs
+++ b/tests/slow_discovery.rs
@@ -75,6 +75,22 @@
     .await;
 }
 
+/// Guards against a call that is repeated although its response has begun in time.
+#[tokio::test(start_paused = true)]
+async fn response_that_begins_in_time_is_waited_for() {
+    run_local(async {
+        let pause = Duration::from_millis(900);
+        let mut fixture = start_and_switch().await;
+        let mut poll = fixture.next_call().await;
+        poll.request_line().await;
+        sleep(pause).await;
+        poll.begin_response(&list(), 0).await;
+        sleep(pause).await;
+        assert!(fixture.calls.try_recv().is_err(), "the call was repeated");
+    })
+    .await;
+}
+
 /// Guards against a message of a watch that is abandoned while it arrives: the next watch would begin with the
 /// same message. Its newline may arrive later than the rest.
 #[rstest]
