Poll a new agent whose address arrives together with the end of a backoff

What callers could see: after SIGHUP in the same millisecond in which the pause after a failed call ends, the new agent was watched from a sequence number of the old one, without its list, so that changes in between were never heard.

Cause: the select! of the two was unbiased; if the pause won, the state of the old agent was kept and the address marked as seen.

Evidence: the new test brings both about at once, 30 times; without the change it fails with "watch=1&after=0" at the new agent in place of a poll.

--- a/src/net/discovery/watcher.rs
+++ b/src/net/discovery/watcher.rs
@@ -79,7 +79,9 @@
             self.record_failure(&error, &agent);
             let delay = self.backoff.delay(agent.failures(), error.unresponsive_for());
             tokio::select! {
-                // The backoff protects the old agent only; a new one is called at once.
+                // Biased: once the address has changed, the new agent must not be watched from a sequence number
+                // of the old one. The backoff protects the old agent only.
+                biased;
                 _ = address.changed() => agent.reset(),
                 () = tokio::time::sleep(delay) => {}
             }
--- a/tests/discovery_agents.rs
+++ b/tests/discovery_agents.rs
@@ -174,6 +174,29 @@
     .await;
 }
 
+/// Guards against a new agent that is watched from a sequence number of the old one, because its address and the
+/// end of the backoff delay arrive together. Which of them came first used to be random.
+#[tokio::test(start_paused = true)]
+async fn new_agent_is_polled_if_the_backoff_ends_at_the_same_time() {
+    const RUNS: usize = 30;
+    for _ in 0..RUNS {
+        run_local(async {
+            let mut fixture = Fixture::start();
+            // Closed without a response: the watcher backs off before it calls again.
+            drop(fixture.next_call().await);
+            fixture.wait_until_unavailable().await;
+            sleep(fixture.backoff.delay(1, Duration::ZERO)).await;
+            fixture.switch_to_new_agent();
+            let mut poll = fixture.next_call().await;
+            assert_eq!(
+                (poll.agent, poll.request_line().await),
+                (address(NEW_AGENT), POLL_REQUEST_LINE.into())
+            );
+        })
+        .await;
+    }
+}
+
 /// Guards against requests to workers that the old agent reported as draining or gone, while the new agent
 /// still lists them as ready.
 #[rstest]
--- a/tests/support/watcher.rs
+++ b/tests/support/watcher.rs
@@ -152,6 +152,8 @@
     directory: Rc<Directory>,
     pub poll_requested: Rc<Notify>,
     address: watch::Sender<Option<SocketAddr>>,
+    /// The delays between the watcher's calls.
+    pub backoff: Backoff,
     /// Whether connections are established; otherwise connection attempts stay pending.
     pub accepts_connections: Rc<Cell<bool>>,
 }
@@ -172,18 +174,19 @@
         let (call_sender, calls) = mpsc::unbounded_channel();
         let (directory, poll_requested) = (Rc::<Directory>::default(), Rc::<Notify>::default());
         let accepts_connections = Rc::new(Cell::new(true));
+        let backoff = Backoff::new(&Settings { replica_count: 3, ..settings }, 1);
         let watcher = EndpointWatcher {
             directory: directory.clone(),
             driver,
             close_idle_connections: Box::new(|_| {}),
             poll_requested: poll_requested.clone(),
             connector: in_memory_connector(call_sender, accepts_connections.clone()),
-            backoff: Backoff::new(&Settings { replica_count: 3, ..settings }, 1),
+            backoff,
             counters: Rc::default(),
         };
         let (address, address_receiver) = watch::channel(Some(address(OLD_AGENT)));
         tokio::task::spawn_local(watcher.run(address_receiver));
-        Fixture { calls, driver_inputs, directory, poll_requested, address, accepts_connections }
+        Fixture { calls, driver_inputs, directory, poll_requested, address, backoff, accepts_connections }
     }
 
     /// Waits for the next connection of the watcher.
