--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -1,21 +1,21 @@
 //! Tests of the discovery watch with a paused clock and in-memory streams: the driver is notified of each
 //! change within the deadline, regardless of failures.
 
+mod support;
+
 use llm_router::interface::Settings;
 use llm_router::net::discovery::{
-    Backoff, Connector, Directory, DiscoveryStream, EndpointListMessage, EndpointUpdate, EndpointWatcher,
+    Backoff, Connector, Directory, DiscoveryStream, EndpointListMessage, EndpointUpdate,
 };
-use llm_router::runtime::{Clock, DriverHandle, DriverInput};
+use llm_router::runtime::DriverInput;
 use rstest::rstest;
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
+use support::watcher::{RunningWatcher, UPDATE_DEADLINE};
 use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream};
-use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
-/// Time within which the driver has to be notified of a change once discovery has it and is reachable.
-const UPDATE_DEADLINE: Duration = Duration::from_secs(6);
 /// Maximum time between two lines of the agent.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(2);
 /// The change that each agent of these tests reports.
@@ -117,29 +117,12 @@
     }
 }
 
-/// The inputs that the driver receives from a watcher.
-struct DriverInputs(mpsc::UnboundedReceiver<DriverInput>);
+/// A watcher of one agent.
+struct AgentWatcher(RunningWatcher);
 
-impl DriverInputs {
-    /// Starts a watcher of `agent` and returns its driver inputs.
-    fn from_watcher(agent: &Rc<Agent>, settings: &Settings, seed: u64) -> DriverInputs {
-        let (driver, inputs) = DriverHandle::channel(Clock::start());
-        let watcher = EndpointWatcher {
-            directory: Rc::new(Directory::default()),
-            driver,
-            close_idle_connections: Box::new(|_| {}),
-            poll_requested: Rc::default(),
-            connector: agent.clone().connector(),
-            backoff: Backoff::new(settings, seed),
-            counters: Rc::default(),
-        };
-        let (address_sender, address) = watch::channel("127.0.0.1:1".parse().ok());
-        tokio::task::spawn_local(async move {
-            // Keeps the sender alive, since the watcher stops when it is dropped.
-            let _address_sender = address_sender;
-            watcher.run(address).await;
-        });
-        DriverInputs(inputs)
+impl AgentWatcher {
+    fn spawn(agent: &Rc<Agent>, settings: &Settings, seed: u64) -> AgentWatcher {
+        AgentWatcher(RunningWatcher::spawn(agent.clone().connector(), Backoff::new(settings, seed)))
     }
 
     /// Waits until the driver is notified of the change.
@@ -150,7 +133,7 @@
             }
             _ => false,
         };
-        while !has_change(&self.0.recv().await.expect("the watcher ended")) {}
+        while !has_change(&self.0.driver_inputs.recv().await.expect("the watcher ended")) {}
     }
 }
 
@@ -162,8 +145,8 @@
 async fn notification_delay(agent: Agent, watch_required: bool, seed: u64) -> Duration {
     let (change_at, agent) = (agent.started_at + agent.change_at, Rc::new(agent));
     let notified = async {
-        let mut inputs = DriverInputs::from_watcher(&agent, &settings(watch_required), seed);
-        timeout(Duration::from_secs(600), inputs.wait_for_change())
+        let mut watcher = AgentWatcher::spawn(&agent, &settings(watch_required), seed);
+        timeout(Duration::from_secs(600), watcher.wait_for_change())
             .await
             .expect("the driver was never notified");
         Instant::now().saturating_duration_since(change_at)
--- a/tests/discovery_agents.rs
+++ b/tests/discovery_agents.rs
@@ -17,7 +17,7 @@
         let mut fixture = Fixture::start();
         let all = [endpoint("a", "ready"), endpoint("b", "ready")];
         let mut watch = fixture.accept_watch(&snapshot(5, &all)).await;
-        fixture.poll_requested.notify_one();
+        fixture.watcher.poll_requested.notify_one();
         let mut poll = fixture.next_call().await;
         assert_eq!(poll.request_line().await, POLL_REQUEST_LINE);
         // The poll is in progress when the watch reports the drain.
--- a/tests/support/watcher.rs
+++ b/tests/support/watcher.rs
@@ -146,12 +146,38 @@
 }
 
 /// A running watcher with its inputs and outputs.
+pub struct RunningWatcher {
+    pub driver_inputs: mpsc::UnboundedReceiver<DriverInput>,
+    pub directory: Rc<Directory>,
+    pub poll_requested: Rc<Notify>,
+    /// The address of the agent. The watcher stops when it is dropped.
+    pub address: watch::Sender<Option<SocketAddr>>,
+}
+
+impl RunningWatcher {
+    /// Starts a watcher of the old agent.
+    pub fn spawn(connector: Connector, backoff: Backoff) -> RunningWatcher {
+        let (driver, driver_inputs) = DriverHandle::channel(Clock::start());
+        let (directory, poll_requested) = (Rc::<Directory>::default(), Rc::<Notify>::default());
+        let watcher = EndpointWatcher {
+            directory: directory.clone(),
+            driver,
+            close_idle_connections: Box::new(|_| {}),
+            poll_requested: poll_requested.clone(),
+            connector,
+            backoff,
+            counters: Rc::default(),
+        };
+        let (address, address_receiver) = watch::channel(Some(address(OLD_AGENT)));
+        tokio::task::spawn_local(watcher.run(address_receiver));
+        RunningWatcher { driver_inputs, directory, poll_requested, address }
+    }
+}
+
+/// A watcher whose agents are played by the test.
 pub struct Fixture {
     pub calls: mpsc::UnboundedReceiver<Call>,
-    driver_inputs: mpsc::UnboundedReceiver<DriverInput>,
-    directory: Rc<Directory>,
-    pub poll_requested: Rc<Notify>,
-    address: watch::Sender<Option<SocketAddr>>,
+    pub watcher: RunningWatcher,
     /// The delays between the watcher's calls.
     pub backoff: Backoff,
     /// Whether connections are established; otherwise connection attempts stay pending.
@@ -170,23 +196,12 @@
     }
 
     fn start_with(settings: Settings) -> Fixture {
-        let (driver, driver_inputs) = DriverHandle::channel(Clock::start());
         let (call_sender, calls) = mpsc::unbounded_channel();
-        let (directory, poll_requested) = (Rc::<Directory>::default(), Rc::<Notify>::default());
         let accepts_connections = Rc::new(Cell::new(true));
         let backoff = Backoff::new(&Settings { replica_count: 3, ..settings }, 1);
-        let watcher = EndpointWatcher {
-            directory: directory.clone(),
-            driver,
-            close_idle_connections: Box::new(|_| {}),
-            poll_requested: poll_requested.clone(),
-            connector: in_memory_connector(call_sender, accepts_connections.clone()),
-            backoff,
-            counters: Rc::default(),
-        };
-        let (address, address_receiver) = watch::channel(Some(address(OLD_AGENT)));
-        tokio::task::spawn_local(watcher.run(address_receiver));
-        Fixture { calls, driver_inputs, directory, poll_requested, address, backoff, accepts_connections }
+        let connector = in_memory_connector(call_sender, accepts_connections.clone());
+        let watcher = RunningWatcher::spawn(connector, backoff);
+        Fixture { calls, watcher, backoff, accepts_connections }
     }
 
     /// Waits for the next connection of the watcher.
@@ -209,7 +224,7 @@
         let update = async {
             loop {
                 if let Some(DriverInput::EndpointsUpdated { kind, endpoints }) =
-                    self.driver_inputs.recv().await
+                    self.watcher.driver_inputs.recv().await
                     && kind != UpdateKind::Unavailable
                 {
                     let workers = endpoints.iter().map(|e| format!("{} {:?}", e.worker.0, e.status));
@@ -223,17 +238,17 @@
     /// Waits until the driver is notified that discovery is unavailable.
     pub async fn wait_until_unavailable(&mut self) {
         while !matches!(
-            self.driver_inputs.recv().await,
+            self.watcher.driver_inputs.recv().await,
             Some(DriverInput::EndpointsUpdated { kind: UpdateKind::Unavailable, .. })
         ) {}
     }
 
     pub fn is_ready(&self, worker: &str) -> bool {
-        self.directory.is_ready(&WorkerId(worker.into()))
+        self.watcher.directory.is_ready(&WorkerId(worker.into()))
     }
 
     pub fn switch_to_new_agent(&self) {
-        self.address.send(Some(address(NEW_AGENT))).unwrap();
+        self.watcher.address.send(Some(address(NEW_AGENT))).unwrap();
     }
 }
 
