--- a/src/net/discovery/hedging.rs
+++ b/src/net/discovery/hedging.rs
@@ -21,8 +21,7 @@
     pub max_calls: usize,
 }
 
-/// The time of the last activity of any of the hedged calls: the start of a call, or a
-/// part of a response.
+/// The time of the last activity of any of the hedged calls: the start of a call, or a part of a response.
 pub struct CallActivity(Cell<Instant>);
 
 impl CallActivity {
