--- a/src/net/discovery/watcher.rs
+++ b/src/net/discovery/watcher.rs
@@ -29,7 +29,7 @@
     pub poll_requested: Rc<Notify>,
     /// Opens connections to the discovery agent.
     pub connector: Connector,
-    /// Delays between calls, and their timeout.
+    /// Delays between calls, and the mode that decides on their timeout and hedging.
     pub backoff: Backoff,
     /// Counts failed calls and lost watches.
     pub counters: Rc<Counters>,
